--- /dev/null
+++ b/rpc/conn.go
@@ -0,0 +1,66 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// DialTimeout bounds the time to connect to another process.
+	DialTimeout = 500 * time.Millisecond
+	// MaxMessageBytes bounds one message in either direction.
+	MaxMessageBytes = 64 << 20
+)
+
+// ConnectionLostError says that the connection to a process failed.
+type ConnectionLostError struct {
+	Addr string
+	// Sent is false if the call was certainly not handed to the network.
+	Sent  bool
+	Cause error
+}
+
+// Error describes the failure.
+func (e *ConnectionLostError) Error() string {
+	return "connection to " + e.Addr + " lost: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ConnectionLostError) Unwrap() error { return e.Cause }
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream: drpcstream.Options{MaximumBufferSize: MaxMessageBytes},
+	}
+}
+
+// Dial connects to the process at addr.
+func Dial(ctx context.Context, addr netip.AddrPort) (drpc.Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout}
+	c, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, &ConnectionLostError{Addr: addr.String(), Cause: err}
+	}
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Serve answers calls on l until ctx ends. Register adds the services.
+func Serve(ctx context.Context, l net.Listener, register func(drpc.Mux) error) error {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return err
+	}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return srv.Serve(ctx, l)
+}
