--- /dev/null
+++ b/consensus/step.go
@@ -0,0 +1,152 @@
+package consensus
+
+// Step takes in a message from another member.
+func (n *Node) Step(m Message) {
+	if !n.accepts(m) {
+		return
+	}
+	switch {
+	case m.Term > n.term:
+		if !n.enterTerm(m) {
+			return
+		}
+	case m.Term < n.term:
+		n.refuseOldTerm(m)
+		return
+	}
+	n.handle(m)
+}
+
+// accepts tells whether m is meant for this disk, and comes from a disk that
+// may take part. Votes and acknowledgements count only from the listed disk.
+func (n *Node) accepts(m Message) bool {
+	if m.To != n.id || m.ToDisk != n.disk || m.From == n.id {
+		return false
+	}
+	switch m.Type {
+	case MsgPreVoteReply, MsgVoteReply, MsgAppendReply, MsgHeartbeatReply, MsgSnapshotReply, MsgConfirm:
+		return n.membership().Lists(m.From, m.FromDisk)
+	case MsgPreVote, MsgVote:
+		x, ok := n.membership().Find(m.From)
+		return !ok || x.Disk == m.FromDisk
+	default:
+		return true
+	}
+}
+
+// enterTerm handles the higher term of m, and tells whether to go on with m.
+func (n *Node) enterTerm(m Message) bool {
+	switch m.Type {
+	case MsgPreVote:
+		return !n.hearsLeader()
+	case MsgVote:
+		if n.hearsLeader() {
+			return false
+		}
+		n.becomeFollower(m.Term, None)
+	case MsgPreVoteReply:
+		if m.Reject {
+			n.becomeFollower(m.Term, None)
+			return false
+		}
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.becomeFollower(m.Term, m.From)
+	default:
+		n.becomeFollower(m.Term, None)
+	}
+	return true
+}
+
+// refuseOldTerm tells a sender of an old term about the current one, so that a
+// leader that was replaced steps down.
+func (n *Node) refuseOldTerm(m Message) {
+	switch m.Type {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.reply(m, Message{Type: MsgAppendReply, Reject: true, Index: m.Index, Hint: n.log.last(), HintTerm: n.log.lastTerm()})
+	case MsgPreVote:
+		n.reply(m, Message{Type: MsgPreVoteReply, Reject: true})
+	default:
+	}
+}
+
+func (n *Node) handle(m Message) {
+	switch m.Type {
+	case MsgPreVote, MsgVote:
+		n.onVoteRequest(m)
+	case MsgPreVoteReply:
+		n.onPreVoteReply(m)
+	case MsgVoteReply:
+		n.onVoteReply(m)
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.onLeaderMessage(m)
+	case MsgConfirm:
+		n.onConfirm(m)
+	case MsgConfirmReply:
+		n.confirmed = append(n.confirmed, Confirmed{Request: m.Request, Index: m.Index, Lost: m.Reject})
+	default:
+		if n.role == Leader {
+			n.onReplyToLeader(m)
+		}
+	}
+}
+
+func (n *Node) onReplyToLeader(m Message) {
+	p := n.progress[m.From]
+	if p == nil {
+		return
+	}
+	p.active = true
+	switch m.Type {
+	case MsgAppendReply:
+		n.onAppendReply(p, m)
+	case MsgHeartbeatReply:
+		n.onHeartbeatReply(p, m)
+	case MsgSnapshotReply:
+		n.onSnapshotReply(p, m)
+	default:
+	}
+}
+
+func (n *Node) onLeaderMessage(m Message) {
+	if n.role == Leader {
+		panic(&InvariantError{What: "two leaders in one term", Index: m.Term})
+	}
+	if n.role != Follower {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.leader = m.From
+	n.elapsed = 0
+	switch m.Type {
+	case MsgAppend:
+		n.onAppend(m)
+	case MsgHeartbeat:
+		n.log.commitTo(m.Commit)
+		n.reply(m, Message{Type: MsgHeartbeatReply, Round: m.Round})
+	default:
+		n.onSnapshot(m)
+	}
+}
+
+func (n *Node) onAppend(m Message) {
+	if m.Index < n.log.committed {
+		n.reply(m, Message{Type: MsgAppendReply, Index: n.log.committed})
+		return
+	}
+	if !n.log.matches(m.Index, m.LogTerm) {
+		hint := min(m.Index, n.log.last())
+		for hint > n.log.committed {
+			if t, ok := n.log.term(hint); ok && t <= m.LogTerm {
+				break
+			}
+			hint--
+		}
+		t, _ := n.log.term(hint)
+		n.reply(m, Message{Type: MsgAppendReply, Reject: true, Index: m.Index, Hint: hint, HintTerm: t})
+		return
+	}
+	n.incoming = nil
+	n.log.merge(m.Entries)
+	last := m.Index + uint64(len(m.Entries))
+	n.log.commitTo(min(m.Commit, last))
+	n.reply(m, Message{Type: MsgAppendReply, Index: last})
+}
