--- a/consensus/errors.go
+++ b/consensus/errors.go
@@ -35,6 +35,10 @@
 	LastVoter MembershipReason = "the last voter can't be removed"
 	// LearnerBehind says that the learner lacks committed entries.
 	LearnerBehind MembershipReason = "the learner lacks committed entries"
+	// LearnerSilent says that the learner hasn't answered lately.
+	LearnerSilent MembershipReason = "the learner has not answered lately"
+	// QuorumLost says that too few of the rest have answered lately.
+	QuorumLost MembershipReason = "the rest would have no majority that answers"
 	// ChangePending says that another change isn't committed yet.
 	ChangePending MembershipReason = "another change is not committed yet"
 	// TermNotCommitted says that the leader has to commit an entry first.
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -127,6 +127,15 @@
 	return l.memberships[len(l.memberships)-1]
 }
 
+// inForce returns the last committed membership and those after it.
+func (l *entryLog) inForce() []recordedMembership {
+	first := len(l.memberships) - 1
+	for first > 0 && l.memberships[first].index > l.committed {
+		first--
+	}
+	return l.memberships[first:]
+}
+
 // membershipAt returns the membership that was current at index.
 func (l *entryLog) membershipAt(index uint64) Membership {
 	for i := len(l.memberships) - 1; i > 0; i-- {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "slices"
+
 // Node is one member's part in the agreement. It isn't safe for use by several
 // goroutines.
 type Node struct {
@@ -52,16 +54,22 @@
 
 func (n *Node) membership() Membership { return n.log.membership().Membership }
 
-// electable tells whether this member, with this disk, is a voter.
+// electable tells whether this member, with this disk, is a voter. One whose
+// removal isn't committed is still: it may be the only one that can lead.
 func (n *Node) electable() bool {
-	m := n.membership()
-	return m.Lists(n.id, n.disk) && m.IsVoter(n.id)
+	return slices.ContainsFunc(n.log.inForce(), func(m recordedMembership) bool {
+		return m.Lists(n.id, n.disk) && m.IsVoter(n.id)
+	})
 }
 
 // mayVote tells whether this member may give votes. A learner may, since its
 // promotion may be committed before it hears of it; the candidate's membership
 // decides whether the vote counts.
-func (n *Node) mayVote() bool { return n.membership().Lists(n.id, n.disk) }
+func (n *Node) mayVote() bool {
+	return slices.ContainsFunc(n.log.inForce(), func(m recordedMembership) bool {
+		return m.Lists(n.id, n.disk)
+	})
+}
 
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
@@ -180,13 +188,13 @@
 	if n.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	if err := n.mayChange(c); err != nil {
-		return 0, 0, err
-	}
 	next, err := n.membership().apply(c)
 	if err != nil {
 		return 0, 0, err
 	}
+	if err := n.mayChange(c); err != nil {
+		return 0, 0, err
+	}
 	index = n.appendOwn(Entry{Kind: EntryMembership, Membership: &next})
 	n.syncProgress()
 	return index, n.term, nil
@@ -199,16 +207,31 @@
 	if n.log.membership().index > n.log.committed {
 		return &MembershipError{Reason: ChangePending, ID: c.Member.ID}
 	}
-	if c.Kind != Promote {
-		return nil
-	}
 	p := n.progress[c.Member.ID]
-	if p != nil && p.match < n.log.committed {
+	if c.Kind == Promote && p != nil && p.match < n.log.committed {
 		return &MembershipError{Reason: LearnerBehind, ID: c.Member.ID}
 	}
+	if c.Kind == Promote && p != nil && !p.answered() {
+		return &MembershipError{Reason: LearnerSilent, ID: c.Member.ID}
+	}
+	if c.Kind == Remove && !n.leavesQuorum(c.Member.ID) {
+		return &MembershipError{Reason: QuorumLost, ID: c.Member.ID}
+	}
 	return nil
 }
 
+// leavesQuorum tells whether without a member a majority of voters answers.
+func (n *Node) leavesQuorum(removed MemberID) bool {
+	rest := n.membership().without(removed)
+	count := 0
+	for _, m := range rest.Members {
+		if !m.Learner && (m.ID == n.id || n.progress[m.ID].answered()) {
+			count++
+		}
+	}
+	return count >= rest.Quorum()
+}
+
 // committedOwnTerm tells whether an entry of the current term is committed.
 func (n *Node) committedOwnTerm() bool {
 	t, ok := n.log.term(n.log.committed)
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -30,7 +30,8 @@
 
 	snapshot *Snapshot
 	offset   uint64
-	// stalled says that a heartbeat was answered since the last chunk was sent.
+	// stalled says that a heartbeat was answered since the last chunk was sent
+	// or the last append was acknowledged.
 	stalled bool
 }
 
@@ -49,9 +50,13 @@
 	p.snapshot = nil
 }
 
+// answered tells whether the member answered lately.
+func (p *progress) answered() bool { return p.active || p.wasActive }
+
 // acknowledge takes in that the member's log matches up to index.
 func (p *progress) acknowledge(index uint64) {
 	p.match = max(p.match, index)
+	p.stalled = false
 	p.next = max(p.next, p.match+1)
 	for len(p.inflight) > 0 && p.inflight[0] <= index {
 		p.inflight = p.inflight[1:]
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -80,7 +80,7 @@
 	s.Active = make(map[MemberID]bool)
 	for id, p := range n.progress {
 		s.Match[id] = p.match
-		s.Active[id] = p.active || p.wasActive || id == n.id
+		s.Active[id] = p.answered() || id == n.id
 	}
 	return s
 }
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -124,14 +124,11 @@
 	case snapshotting:
 		n.resendChunk(m.From, p)
 	case replicating:
-		if p.match < n.log.last() && p.next > n.log.last() {
-			// An append may be lost: an empty one is refused if it was.
-			n.sendAppend(m.From, p)
-			return
-		}
-		if len(p.inflight) >= n.cfg.MaxInflight {
-			p.inflight = p.inflight[1:]
+		if p.match < n.log.last() && p.stalled {
+			// Nothing sent since the last heartbeat arrived: send it again.
+			p.probe()
 		}
+		p.stalled = p.match < n.log.last()
 		n.sendAppends(m.From)
 	case probing:
 		if p.match < n.log.last() {
@@ -182,11 +179,7 @@
 func (n *Node) broadcastCommit() {
 	for _, m := range n.membership().Members {
 		p := n.progress[m.ID]
-		if m.ID == n.id || p.state != replicating {
-			continue
-		}
-		if p.next <= n.log.last() && len(p.inflight) < n.cfg.MaxInflight {
-			n.sendAppends(m.ID)
+		if m.ID == n.id || p.state != replicating || len(p.inflight) >= n.cfg.MaxInflight {
 			continue
 		}
 		n.sendAppend(m.ID, p)
