--- a/consensus/storage/bolt.go
+++ b/consensus/storage/bolt.go
@@ -14,12 +14,11 @@
 )
 
 const (
-	fileName        = "consensus.db"
-	folderMode      = 0o700
-	fileMode        = 0o600
-	lockTimeout     = time.Second
-	initialMmapSize = 64 << 20
-	fillPercent     = 0.95
+	fileName    = "consensus.db"
+	newSuffix   = ".new"
+	fileMode    = 0o600
+	lockTimeout = time.Second
+	fillPercent = 0.95
 )
 
 var (
@@ -27,121 +26,170 @@
 	entriesBucket = []byte("entries")
 )
 
+// records are what an engine holds.
+type records struct {
+	named   map[string][]byte
+	entries []Record
+}
+
 // boltEngine keeps the records in a bbolt file.
 type boltEngine struct {
+	dir  string
 	path string
-	db   *bbolt.DB
+	lock *os.File
+	// db is nil until the first write to a new folder.
+	db *bbolt.DB
+	// found is what the file held when it was opened.
+	found records
 }
 
-// openBolt opens the file in dir, and makes both if they are missing.
-func openBolt(dir string) (e *boltEngine, err error) {
-	path := filepath.Join(dir, fileName)
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer damagedOnPanic(path, &err)
+// openBolt opens the file in dir. The first write makes it if it is missing, so
+// that a file is never without what was written first. What a file holds is copied into a new file that takes its place: a damaged page
+// may look like a free one, and bbolt would write over live ones.
+func openBolt(dir string) (*boltEngine, error) {
+	e := &boltEngine{dir: dir, path: filepath.Join(dir, fileName)}
 	if err := makeFolder(dir); err != nil {
 		return nil, &OpenError{Path: dir, Cause: err}
 	}
-	db, err := bbolt.Open(path, fileMode, &bbolt.Options{
-		Timeout:         lockTimeout,
-		NoFreelistSync:  true,
-		FreelistType:    bbolt.FreelistMapType,
-		InitialMmapSize: initialMmapSize,
-	})
+	lock, err := lockFolder(dir)
 	if err != nil {
-		return nil, openFailure(path, err)
+		return nil, &OpenError{Path: dir, Cause: err}
 	}
-	e = &boltEngine{path: path, db: db}
-	if err := e.prepare(dir); err != nil {
-		_ = db.Close()
+	e.lock = lock
+	e.found, err = readBolt(e.path)
+	if err == nil && len(e.found.named) > 0 {
+		err = e.rebuild(Batch{Named: e.found.named, Entries: e.found.entries})
+	}
+	if err != nil {
+		_ = e.Close()
 		return nil, err
 	}
 	return e, nil
 }
 
-func openFailure(path string, err error) error {
-	damage := []error{bolterrors.ErrInvalid, bolterrors.ErrChecksum, bolterrors.ErrVersionMismatch}
-	for _, d := range damage {
-		if errors.Is(err, d) {
-			return &DamagedError{Path: path, What: err.Error()}
-		}
+// rebuild writes a batch into a new file in place of the old one.
+func (e *boltEngine) rebuild(b Batch) error {
+	next := e.path + newSuffix
+	err := os.Remove(next)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return &OpenError{Path: next, Cause: err}
+	}
+	e.db, err = bbolt.Open(next, fileMode, &bbolt.Options{
+		Timeout:        lockTimeout,
+		NoFreelistSync: true,
+		FreelistType:   bbolt.FreelistMapType,
+	})
+	if err == nil {
+		err = e.db.Update(makeBuckets)
 	}
-	return &OpenError{Path: path, Cause: err}
+	if err == nil {
+		err = e.Write(b)
+	}
+	if err == nil {
+		err = os.Rename(next, e.path)
+	}
+	if err == nil {
+		err = syncFolder(e.dir)
+	}
+	if err != nil {
+		return &OpenError{Path: e.path, Cause: err}
+	}
+	return nil
 }
 
-// damagedOnPanic turns a panic over a damaged file into an error. A file that
-// was cut short shows as a memory fault, since it is mapped.
-func damagedOnPanic(path string, err *error) {
-	if r := recover(); r != nil {
-		*err = &DamagedError{Path: path, What: "its pages don't fit together"}
+func makeBuckets(tx *bbolt.Tx) error {
+	if _, err := tx.CreateBucket(namedBucket); err != nil {
+		return err
 	}
+	_, err := tx.CreateBucket(entriesBucket)
+	return err
 }
 
-func (e *boltEngine) prepare(dir string) error {
-	if err := e.checkLength(); err != nil {
-		return err
+// readBolt returns what the file holds, nothing if there is no file yet.
+func readBolt(path string) (found records, err error) {
+	info, err := os.Stat(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return records{}, nil
 	}
-	err := e.db.Update(func(tx *bbolt.Tx) error {
-		if _, err := tx.CreateBucketIfNotExists(namedBucket); err != nil {
-			return err
+	if err != nil {
+		return records{}, &OpenError{Path: path, Cause: err}
+	}
+	if err := checkMetas(path); err != nil {
+		return records{}, err
+	}
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer damagedOnPanic(path, &err)
+	db, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, ReadOnly: true})
+	if err != nil {
+		return records{}, openFailure(path, err)
+	}
+	defer func() { _ = db.Close() }()
+	err = db.View(func(tx *bbolt.Tx) error {
+		if info.Size() < tx.Size() {
+			return &DamagedError{Path: path, What: "the file was cut short"}
 		}
-		_, err := tx.CreateBucketIfNotExists(entriesBucket)
+		found, err = readRecords(tx, path)
 		return err
 	})
-	if err == nil {
-		err = syncFolder(dir)
+	if err == nil && len(found.named) == 0 {
+		return found, &DamagedError{Path: path, What: "the file is empty"}
 	}
-	if err != nil {
-		return &OpenError{Path: e.path, Cause: err}
-	}
-	return nil
+	return found, err
 }
 
-// checkLength fails if the file is shorter than its pages.
-func (e *boltEngine) checkLength() error {
-	var want int64
-	err := e.db.View(func(tx *bbolt.Tx) error {
-		want = tx.Size()
+func readRecords(tx *bbolt.Tx, path string) (records, error) {
+	r := records{named: make(map[string][]byte)}
+	named, entries := tx.Bucket(namedBucket), tx.Bucket(entriesBucket)
+	if named == nil || entries == nil {
+		return r, &DamagedError{Path: path, What: "a bucket is missing"}
+	}
+	err := named.ForEach(func(k, v []byte) error {
+		r.named[string(k)] = bytes.Clone(v)
 		return nil
 	})
 	if err != nil {
-		return &OpenError{Path: e.path, Cause: err}
+		return r, err
 	}
-	info, err := os.Stat(e.path)
-	if err != nil {
-		return &OpenError{Path: e.path, Cause: err}
+	err = entries.ForEach(func(k, v []byte) error {
+		if len(k) != indexBytes {
+			return &DamagedError{Path: path, What: "an entry's key has a wrong length"}
+		}
+		r.entries = append(r.entries, Record{binary.BigEndian.Uint64(k), bytes.Clone(v)})
+		return nil
+	})
+	return r, err
+}
+
+func openFailure(path string, err error) error {
+	damage := []error{bolterrors.ErrInvalid, bolterrors.ErrChecksum, bolterrors.ErrVersionMismatch}
+	for _, d := range damage {
+		if errors.Is(err, d) {
+			return &DamagedError{Path: path, What: err.Error()}
+		}
 	}
-	if info.Size() < want {
-		return &DamagedError{Path: e.path, What: "the file was cut short"}
+	return &OpenError{Path: path, Cause: err}
+}
+
+// damagedOnPanic turns a panic over a damaged file into an error. A file that
+// was cut short shows as a memory fault, since it is mapped.
+func damagedOnPanic(path string, err *error) {
+	if r := recover(); r != nil {
+		*err = &DamagedError{Path: path, What: "its pages don't fit together"}
 	}
-	return nil
 }
 
-// Load implements Engine.
+// Load implements Engine. It is called once.
 func (e *boltEngine) Load() (named map[string][]byte, entries []Record, err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer damagedOnPanic(e.path, &err)
-	named = make(map[string][]byte)
-	err = e.db.View(func(tx *bbolt.Tx) error {
-		err := tx.Bucket(namedBucket).ForEach(func(k, v []byte) error {
-			named[string(k)] = bytes.Clone(v)
-			return nil
-		})
-		if err != nil {
-			return err
-		}
-		return tx.Bucket(entriesBucket).ForEach(func(k, v []byte) error {
-			if len(k) != indexBytes {
-				return &DamagedError{Path: e.path, What: "an entry's key has a wrong length"}
-			}
-			entries = append(entries, Record{binary.BigEndian.Uint64(k), bytes.Clone(v)})
-			return nil
-		})
-	})
-	return named, entries, err
+	found := e.found
+	e.found = records{}
+	return found.named, found.entries, nil
 }
 
 // Write implements Engine.
 func (e *boltEngine) Write(b Batch) (err error) {
+	if e.db == nil {
+		return e.rebuild(b)
+	}
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer damagedOnPanic(e.path, &err)
 	return e.db.Update(func(tx *bbolt.Tx) error {
@@ -188,27 +236,13 @@
 }
 
 // Close implements Engine.
-func (e *boltEngine) Close() error { return e.db.Close() }
-
-// makeFolder makes a folder that lasts.
-func makeFolder(dir string) error {
-	if _, err := os.Stat(dir); err == nil {
-		return nil
-	}
-	if err := os.MkdirAll(dir, folderMode); err != nil {
-		return err
-	}
-	return syncFolder(filepath.Dir(dir))
-}
-
-func syncFolder(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
+func (e *boltEngine) Close() error {
+	var err error
+	if e.db != nil {
+		err = e.db.Close()
 	}
-	err = f.Sync()
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
+	if lockErr := e.lock.Close(); err == nil {
+		err = lockErr
 	}
 	return err
 }
--- a/consensus/storage/engine.go
+++ b/consensus/storage/engine.go
@@ -2,11 +2,8 @@
 
 // Keys of the records that aren't entries.
 const (
-	keyDisk         = "disk"
-	keyHardState    = "hard-state"
-	keyFirst        = "first-membership"
-	keySnapshotMeta = "snapshot-meta"
-	keySnapshotData = "snapshot-data"
+	keyManifest = "manifest"
+	keySnapshot = "snapshot"
 )
 
 // Record is an entry's record under its index.
--- /dev/null
+++ b/consensus/storage/folder.go
@@ -0,0 +1,48 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+const (
+	lockName   = "lock"
+	folderMode = 0o700
+)
+
+// lockFolder keeps other processes out of the folder until the file is closed.
+func lockFolder(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// makeFolder makes a folder that lasts.
+func makeFolder(dir string) error {
+	if _, err := os.Stat(dir); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(dir))
+}
+
+func syncFolder(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- a/consensus/storage/store.go
+++ b/consensus/storage/store.go
@@ -28,10 +28,10 @@
 
 // Store writes a member's state. It isn't safe for use by several goroutines.
 type Store struct {
-	path   string
-	engine Engine
-	last   uint64
-	failed error
+	path     string
+	engine   Engine
+	manifest *pb.Manifest
+	failed   error
 }
 
 // Open opens the data folder. A new folder gets a random identity.
@@ -45,7 +45,7 @@
 
 // OpenEngine opens a store on an engine, and closes the engine if that fails.
 func OpenEngine(path string, e Engine) (*Store, State, error) {
-	s := &Store{path: path, engine: e}
+	s := &Store{path: path, engine: e, manifest: &pb.Manifest{}}
 	state, err := s.load()
 	if err != nil {
 		_ = e.Close()
@@ -65,67 +65,55 @@
 		}
 		return s.create()
 	}
-	state, err := s.loadNamed(named)
-	if err != nil {
-		return State{}, err
+	if !unsealMessage([]byte(keyManifest), named[keyManifest], s.manifest) {
+		return State{}, s.damaged("the manifest is unreadable", 0)
+	}
+	state := stateOf(s.manifest)
+	if state.Snapshot.Index > 0 {
+		data, ok := unseal([]byte(keySnapshot), named[keySnapshot])
+		if !ok {
+			return State{}, s.damaged("the snapshot is unreadable", 0)
+		}
+		state.Snapshot.Data = data
 	}
 	state.Entries, err = s.loadEntries(state.Snapshot.Index, records)
 	if err != nil {
 		return State{}, err
 	}
-	s.last = state.Snapshot.Index + uint64(len(state.Entries))
-	if state.HardState.Commit > s.last {
-		return State{}, s.damaged("committed entries are missing", state.HardState.Commit)
+	last := state.Snapshot.Index + uint64(len(state.Entries))
+	if last != s.manifest.GetLast() {
+		return State{}, s.damaged("the last entry is not the one that was written", s.manifest.GetLast())
 	}
 	return state, nil
 }
 
+func stateOf(m *pb.Manifest) State {
+	state := State{
+		Disk: consensus.DiskID(m.GetDisk()),
+		HardState: consensus.HardState{
+			Term: m.GetTerm(), Vote: consensus.MemberID(m.GetVote()), Commit: m.GetCommit(),
+		},
+	}
+	if m.GetFirst() != nil {
+		first := codec.MembershipFromPB(m.GetFirst())
+		state.First = &first
+	}
+	if m.GetSnapshot() != nil {
+		state.Snapshot.SnapshotMeta = codec.MetaFromPB(m.GetSnapshot())
+	}
+	return state
+}
+
 func (s *Store) create() (State, error) {
 	raw := make([]byte, diskIDBytes)
 	if _, err := rand.Read(raw); err != nil {
 		return State{}, &OpenError{Path: s.path, Cause: err}
 	}
-	id := hex.EncodeToString(raw)
-	b := Batch{Named: map[string][]byte{keyDisk: seal([]byte(keyDisk), []byte(id))}}
-	if err := s.write(b); err != nil {
+	s.manifest.Disk = hex.EncodeToString(raw)
+	if err := s.write(Batch{}); err != nil {
 		return State{}, err
 	}
-	return State{Disk: consensus.DiskID(id)}, nil
-}
-
-func (s *Store) loadNamed(named map[string][]byte) (State, error) {
-	var state State
-	disk, ok := unseal([]byte(keyDisk), named[keyDisk])
-	if !ok {
-		return state, s.damaged("the identity is unreadable", 0)
-	}
-	state.Disk = consensus.DiskID(disk)
-	if r, ok := named[keyHardState]; ok {
-		m := &pb.HardState{}
-		if !unsealMessage([]byte(keyHardState), r, m) {
-			return state, s.damaged("the hard state is unreadable", 0)
-		}
-		state.HardState = consensus.HardState{
-			Term: m.GetTerm(), Vote: consensus.MemberID(m.GetVote()), Commit: m.GetCommit(),
-		}
-	}
-	if r, ok := named[keyFirst]; ok {
-		m := &pb.Membership{}
-		if !unsealMessage([]byte(keyFirst), r, m) {
-			return state, s.damaged("the first membership is unreadable", 0)
-		}
-		first := codec.MembershipFromPB(m)
-		state.First = &first
-	}
-	if r, ok := named[keySnapshotMeta]; ok {
-		m := &pb.SnapshotMeta{}
-		data, dataOK := unseal([]byte(keySnapshotData), named[keySnapshotData])
-		if !dataOK || !unsealMessage([]byte(keySnapshotMeta), r, m) {
-			return state, s.damaged("the snapshot is unreadable", 0)
-		}
-		state.Snapshot = consensus.Snapshot{SnapshotMeta: codec.MetaFromPB(m), Data: data}
-	}
-	return state, nil
+	return stateOf(s.manifest), nil
 }
 
 // loadEntries returns the entries after the snapshot.
@@ -156,107 +144,81 @@
 // Bootstrap makes this store one of the first members of a new group. The
 // member that forms the group gives formed, the others take its membership.
 func (s *Store) Bootstrap(m consensus.Membership, formed bool) (State, error) {
-	if s.last > 0 {
+	if s.manifest.GetLast() > 0 {
 		return State{}, &NotEmptyError{Path: s.path}
 	}
-	hard, entries := consensus.Bootstrapped(m)
-	b, err := entryBatch(hard, entries)
-	if err != nil {
-		return State{}, err
-	}
 	if formed {
-		r, err := sealMessage([]byte(keyFirst), codec.MembershipToPB(m))
-		if err != nil {
-			return State{}, err
-		}
-		b.Named[keyFirst] = r
+		s.manifest.First = codec.MembershipToPB(m)
 	}
-	if err := s.write(b); err != nil {
+	hard, entries := consensus.Bootstrapped(m)
+	if err := s.Save(hard, entries); err != nil {
 		return State{}, err
 	}
-	return s.load()
+	state := stateOf(s.manifest)
+	state.Entries = entries
+	return state, nil
 }
 
 // Save writes entries, in place of those from the first one's index on, and
 // the hard state. It returns nil only once they are synced.
 func (s *Store) Save(h consensus.HardState, entries []consensus.Entry) error {
-	b, err := entryBatch(h, entries)
-	if err != nil {
-		return s.fail(err)
-	}
-	if len(entries) > 0 {
-		if first := entries[0].Index; first <= s.last {
-			b.CutFrom = first
-		}
-	}
-	if err := s.write(b); err != nil {
-		return err
-	}
-	if k := len(entries); k > 0 {
-		s.last = entries[k-1].Index
-	}
-	return nil
-}
-
-func entryBatch(h consensus.HardState, entries []consensus.Entry) (Batch, error) {
-	r, err := sealMessage([]byte(keyHardState), &pb.HardState{Term: h.Term, Vote: uint64(h.Vote), Commit: h.Commit})
-	if err != nil {
-		return Batch{}, err
-	}
-	b := Batch{Named: map[string][]byte{keyHardState: r}}
+	var b Batch
 	for _, e := range entries {
 		r, err := encodeEntry(e)
 		if err != nil {
-			return Batch{}, err
+			return s.fail(err)
 		}
 		b.Entries = append(b.Entries, Record{Index: e.Index, Data: r})
 	}
-	return b, nil
+	if k := len(entries); k > 0 {
+		if first := entries[0].Index; first <= s.manifest.GetLast() {
+			b.CutFrom = first
+		}
+		s.manifest.Last = entries[k-1].Index
+	}
+	s.setHardState(h)
+	return s.write(b)
+}
+
+func (s *Store) setHardState(h consensus.HardState) {
+	s.manifest.Term, s.manifest.Vote, s.manifest.Commit = h.Term, uint64(h.Vote), h.Commit
 }
 
 // SaveSnapshot writes a snapshot that this member made, and drops the entries
 // up to it.
 func (s *Store) SaveSnapshot(snap consensus.Snapshot) error {
-	b, err := snapshotBatch(snap)
-	if err != nil {
-		return s.fail(err)
-	}
+	b := s.snapshotBatch(snap)
 	b.DropTo = snap.Index
 	return s.write(b)
 }
 
 // Install writes a snapshot that a leader sent, in place of all entries.
 func (s *Store) Install(h consensus.HardState, snap consensus.Snapshot) error {
-	b, err := snapshotBatch(snap)
-	if err != nil {
-		return s.fail(err)
-	}
-	hard, err := entryBatch(h, nil)
-	if err != nil {
-		return s.fail(err)
-	}
-	b.Named[keyHardState] = hard.Named[keyHardState]
+	b := s.snapshotBatch(snap)
 	b.CutFrom = 1
-	if err := s.write(b); err != nil {
-		return err
-	}
-	s.last = snap.Index
-	return nil
+	s.manifest.Last = snap.Index
+	s.setHardState(h)
+	return s.write(b)
 }
 
-func snapshotBatch(snap consensus.Snapshot) (Batch, error) {
-	meta, err := sealMessage([]byte(keySnapshotMeta), codec.MetaToPB(snap.SnapshotMeta))
-	if err != nil {
-		return Batch{}, err
-	}
-	data := seal([]byte(keySnapshotData), snap.Data)
-	return Batch{Named: map[string][]byte{keySnapshotMeta: meta, keySnapshotData: data}}, nil
+func (s *Store) snapshotBatch(snap consensus.Snapshot) Batch {
+	s.manifest.Snapshot = codec.MetaToPB(snap.SnapshotMeta)
+	return Batch{Named: map[string][]byte{keySnapshot: seal([]byte(keySnapshot), snap.Data)}}
 }
 
+// write writes a batch with the manifest.
 func (s *Store) write(b Batch) error {
 	if s.failed != nil {
 		return s.failed
 	}
+	r, err := sealMessage([]byte(keyManifest), s.manifest)
+	if err != nil {
+		return s.fail(err)
+	}
+	if b.Named == nil {
+		b.Named = make(map[string][]byte)
+	}
+	b.Named[keyManifest] = r
 	if err := s.engine.Write(b); err != nil {
 		return s.fail(err)
 	}
