--- a/consensus/group/bootstrap.go
+++ b/consensus/group/bootstrap.go
@@ -8,7 +8,6 @@
 	"github.com/peridotmux/peridotmux/consensus"
 	"github.com/peridotmux/peridotmux/consensus/codec"
 	"github.com/peridotmux/peridotmux/consensus/pb"
-	"github.com/peridotmux/peridotmux/rpc"
 )
 
 const (
@@ -63,7 +62,7 @@
 func (g *Group) firstMembership(ctx context.Context) (first consensus.Membership, exists bool) {
 	low := g.cfg.lowest()
 	if low.ID != g.cfg.ID {
-		r, err := identify(ctx, low.RPC, g.cfg.Name)
+		r, err := g.identify(ctx, low.RPC)
 		if err != nil || !r.GetInitialized() {
 			return consensus.Membership{}, false
 		}
@@ -73,7 +72,7 @@
 	for _, m := range g.cfg.Members {
 		disk := g.disk
 		if m.ID != g.cfg.ID {
-			r, err := identify(ctx, m.RPC, g.cfg.Name)
+			r, err := g.identify(ctx, m.RPC)
 			if err != nil || consensus.MemberID(r.GetId()) != m.ID {
 				return consensus.Membership{}, false
 			}
@@ -88,13 +87,13 @@
 }
 
 // identify asks the process at addr for its disk.
-func identify(ctx context.Context, addr netip.AddrPort, group string) (*pb.IdentifyResponse, error) {
+func (g *Group) identify(ctx context.Context, addr netip.AddrPort) (*pb.IdentifyResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	conn, err := rpc.Dial(ctx, addr)
+	conn, err := g.cfg.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return pb.NewDRPCMembersClient(conn).Identify(ctx, &pb.IdentifyRequest{Group: group})
+	return pb.NewDRPCMembersClient(conn).Identify(ctx, &pb.IdentifyRequest{Group: g.cfg.Name})
 }
--- a/consensus/group/config.go
+++ b/consensus/group/config.go
@@ -1,13 +1,17 @@
 package group
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/peridotmux/peridotmux/consensus"
 	"github.com/peridotmux/peridotmux/control"
+	"github.com/peridotmux/peridotmux/rpc"
 )
 
 // The values that zero fields of Config stand for.
@@ -56,6 +60,8 @@
 	TickInterval    time.Duration
 	// Seed sets the election timeouts; 0 takes a random one.
 	Seed uint64
+	// Dial connects to another member; rpc.Dial if nil.
+	Dial func(context.Context, netip.AddrPort) (drpc.Conn, error)
 }
 
 func (c *Config) setDefaults() {
@@ -71,6 +77,9 @@
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
+	if c.Dial == nil {
+		c.Dial = rpc.Dial
+	}
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()
 	}
--- a/consensus/group/link.go
+++ b/consensus/group/link.go
@@ -10,7 +10,6 @@
 	"github.com/peridotmux/peridotmux/consensus"
 	"github.com/peridotmux/peridotmux/consensus/codec"
 	"github.com/peridotmux/peridotmux/consensus/pb"
-	"github.com/peridotmux/peridotmux/rpc"
 )
 
 const (
@@ -79,7 +78,7 @@
 
 // connect sends over one connection until it fails.
 func (k *link) connect(ctx context.Context) error {
-	conn, err := rpc.Dial(ctx, k.addr)
+	conn, err := k.cfg.Dial(ctx, k.addr)
 	if err != nil {
 		return err
 	}
--- a/consensus/group/ops.go
+++ b/consensus/group/ops.go
@@ -90,7 +90,7 @@
 // AddLearner adds a member without a vote. The process at its address must
 // run: its data folder's identity is asked for.
 func (g *Group) AddLearner(ctx context.Context, m Member) error {
-	r, err := identify(ctx, m.RPC, g.cfg.Name)
+	r, err := g.identify(ctx, m.RPC)
 	if err != nil {
 		return &NotAppendedError{Cause: err}
 	}
