Add settings: INI files checked whole, with line and key of each fault

Cause: daemons and operators need files whose faults all show before anything starts. ini.v1 gives no line numbers, so a scan of the text gives them and reports doubled sections and keys, which the library would merge.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,21 @@
+package settings
+
+// Check reads a file of any sort, told by its sections, and returns its faults.
+func Check(path string) error {
+	d := readDocument(path)
+	for _, s := range d.sections {
+		switch s.name {
+		case sectionDeployment:
+			_, err := LoadDeployment(path)
+			return err
+		case sectionRouter:
+			_, err := LoadRouter(path)
+			return err
+		case sectionControl:
+			_, err := LoadControl(path)
+			return err
+		}
+	}
+	d.faults = append(d.faults, Fault{File: path, Expected: "a section [deployment], [router] or [control]"})
+	return d.result()
+}
--- /dev/null
+++ b/settings/document.go
@@ -0,0 +1,166 @@
+package settings
+
+import (
+	"os"
+	"strconv"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 4 << 20
+
+// document is one parsed file and the faults found in it so far.
+type document struct {
+	file     string
+	sections []*section
+	faults   Faults
+}
+
+// section is one section of a document.
+type section struct {
+	doc  *document
+	name string
+	line int
+	keys map[string]*entry
+}
+
+// entry is one key's value and place.
+type entry struct {
+	value string
+	line  int
+	used  bool
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// readDocument parses the file at path.
+func readDocument(path string) *document {
+	data, fault := readFile(path)
+	if fault != nil {
+		return &document{file: path, faults: Faults{*fault}}
+	}
+	return parseDocument(path, data)
+}
+
+func readFile(path string) ([]byte, *Fault) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, &Fault{File: path, Expected: "a file that can be read", Got: err.Error()}
+	}
+	if info.Size() > MaxFileBytes {
+		return nil, tooLarge(path, info.Size())
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Fault{File: path, Expected: "a file that can be read", Got: err.Error()}
+	}
+	return data, nil
+}
+
+func tooLarge(file string, size int64) *Fault {
+	return &Fault{
+		File:     file,
+		Expected: "at most " + itoa(MaxFileBytes) + " bytes",
+		Got:      strconv.FormatInt(size, 10) + " bytes",
+	}
+}
+
+func parseDocument(file string, data []byte) *document {
+	d := &document{file: file}
+	if len(data) > MaxFileBytes {
+		d.faults = Faults{*tooLarge(file, int64(len(data)))}
+		return d
+	}
+	s := scanLines(file, data)
+	d.faults = s.faults
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation:      true,
+		SkipUnrecognizableLines: true,
+		KeyValueDelimiters:      "=",
+	}, data)
+	if err != nil {
+		if len(d.faults) == 0 {
+			d.faults = Faults{{File: file, Expected: "an INI file", Got: err.Error()}}
+		}
+		return d
+	}
+	for _, name := range s.order {
+		d.addSection(parsed, name, s.sections[name])
+	}
+	return d
+}
+
+func (d *document) addSection(parsed *ini.File, name string, p *place) {
+	s := &section{doc: d, name: name, line: p.line, keys: make(map[string]*entry)}
+	d.sections = append(d.sections, s)
+	source, err := parsed.GetSection(name)
+	if err != nil {
+		d.faults = append(d.faults, Fault{
+			File: d.file, Line: p.line, Section: name, Expected: "a section's name", Got: name,
+		})
+		return
+	}
+	for _, key := range source.Keys() {
+		line, ok := p.keys[key.Name()]
+		if !ok {
+			line = p.line
+		}
+		s.keys[key.Name()] = &entry{value: key.Value(), line: line}
+	}
+}
+
+// result returns the document's faults as an error, nil if there are none.
+func (d *document) result() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return d.faults.sorted()
+}
+
+// checkUsed reports each key that nobody asked for.
+func (d *document) checkUsed() {
+	for _, s := range d.sections {
+		for name, e := range s.keys {
+			if !e.used {
+				s.faultAt(e.line, name, "a known key", name)
+			}
+		}
+	}
+}
+
+// one returns the section of the given name, and a fault if there is none.
+func (d *document) one(name string) *section {
+	for _, s := range d.sections {
+		if s.name == name {
+			return s
+		}
+	}
+	d.faults = append(d.faults, Fault{File: d.file, Section: name, Expected: "the section [" + name + "]"})
+	return &section{doc: d, name: name, keys: make(map[string]*entry)}
+}
+
+// maybe returns the section of the given name, or an empty one.
+func (d *document) maybe(name string) *section {
+	for _, s := range d.sections {
+		if s.name == name {
+			return s
+		}
+	}
+	return &section{doc: d, name: name, keys: make(map[string]*entry)}
+}
+
+func (s *section) faultAt(line int, key, expected, got string) {
+	s.doc.faults = append(s.doc.faults, Fault{
+		File: s.doc.file, Line: line, Section: s.name, Key: key, Expected: expected, Got: got,
+	})
+}
+
+// fault reports a fault at key, or at the section if the key isn't there.
+func (s *section) fault(key, expected, got string) {
+	line := s.line
+	if e, ok := s.keys[key]; ok {
+		line = e.line
+	}
+	s.faultAt(line, key, expected, got)
+}
--- /dev/null
+++ b/settings/value.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"log/slog"
+	"math"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// value is a sort of value: what is expected and how it is read.
+type value[T any] struct {
+	expected string
+	parse    func(string) (T, bool)
+}
+
+// maxNameBytes bounds the name of a VM, group, kind or the like.
+const maxNameBytes = 64
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+func isName(s string) bool { return len(s) <= maxNameBytes && namePattern.MatchString(s) }
+
+func nameOf[T ~string]() value[T] {
+	return value[T]{
+		expected: "a name of small letters, digits, '.', '_' and '-', at most " + itoa(maxNameBytes) + " long",
+		parse:    func(s string) (T, bool) { return T(s), isName(s) },
+	}
+}
+
+var addrValue = value[netip.AddrPort]{
+	expected: "an IP number and port, such as 10.0.0.1:7000",
+	parse: func(s string) (netip.AddrPort, bool) {
+		a, err := netip.ParseAddrPort(s)
+		return a, err == nil && a.Port() > 0 && !a.Addr().IsUnspecified()
+	},
+}
+
+var shareValue = value[float64]{
+	expected: "a share from 0 to 1, such as 0.02",
+	parse: func(s string) (float64, bool) {
+		f, err := strconv.ParseFloat(s, 64)
+		return f, err == nil && f >= 0 && f <= 1
+	},
+}
+
+var weightValue = value[float64]{
+	expected: "a number above 0",
+	parse: func(s string) (float64, bool) {
+		f, err := strconv.ParseFloat(s, 64)
+		return f, err == nil && f > 0 && !math.IsInf(f, 1)
+	},
+}
+
+func countValue(most int) value[int] {
+	return value[int]{
+		expected: "a whole number from 1 to " + itoa(most),
+		parse: func(s string) (int, bool) {
+			n, err := strconv.Atoi(s)
+			return n, err == nil && n >= 1 && n <= most
+		},
+	}
+}
+
+func durationValue(least, most time.Duration) value[time.Duration] {
+	return value[time.Duration]{
+		expected: "a time with its unit from " + least.String() + " to " + most.String() + ", such as 250ms",
+		parse: func(s string) (time.Duration, bool) {
+			d, err := time.ParseDuration(s)
+			return d, err == nil && d >= least && d <= most
+		},
+	}
+}
+
+var deadlineValue = durationValue(time.Millisecond, api.MaxDeadlineMS*time.Millisecond)
+
+var boolValue = value[bool]{
+	expected: "yes or no",
+	parse: func(s string) (bool, bool) {
+		return s == "yes", s == "yes" || s == "no"
+	},
+}
+
+var policyValue = value[topology.Policy]{
+	expected: string(topology.PolicyCoverage) + " or " + string(topology.PolicyLatency),
+	parse: func(s string) (topology.Policy, bool) {
+		p := topology.Policy(s)
+		return p, p == topology.PolicyCoverage || p == topology.PolicyLatency
+	},
+}
+
+var formatValue = value[LogFormat]{
+	expected: string(LogJSON) + " or " + string(LogText),
+	parse: func(s string) (LogFormat, bool) {
+		f := LogFormat(s)
+		return f, f == LogJSON || f == LogText
+	},
+}
+
+var levels = map[string]slog.Level{
+	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+}
+
+var levelValue = value[slog.Level]{
+	expected: "debug, info, warn or error",
+	parse: func(s string) (slog.Level, bool) {
+		l, ok := levels[s]
+		return l, ok
+	},
+}
+
+// required reads a key that must be there.
+func required[T any](s *section, key string, v value[T]) T {
+	var zero T
+	e, ok := s.keys[key]
+	if !ok {
+		s.fault(key, v.expected, "")
+		return zero
+	}
+	return read(s, key, e, v)
+}
+
+// optional reads a key that may be absent.
+func optional[T any](s *section, key string, v value[T], absent T) T {
+	e, ok := s.keys[key]
+	if !ok {
+		return absent
+	}
+	return read(s, key, e, v)
+}
+
+func read[T any](s *section, key string, e *entry, v value[T]) T {
+	e.used = true
+	result, ok := v.parse(e.value)
+	if !ok {
+		s.faultAt(e.line, key, v.expected, e.value)
+		var zero T
+		return zero
+	}
+	return result
+}
+
+// list reads a key that holds values separated by commas, each at most once.
+func list[T comparable](s *section, key string, v value[T]) []T {
+	e, ok := s.keys[key]
+	if !ok {
+		s.fault(key, "a list separated by commas, each item "+v.expected, "")
+		return nil
+	}
+	e.used = true
+	var items []T
+	seen := make(map[T]bool)
+	for text := range strings.SplitSeq(e.value, ",") {
+		text = strings.TrimSpace(text)
+		item, ok := v.parse(text)
+		switch {
+		case !ok:
+			s.faultAt(e.line, key, v.expected, text)
+		case seen[item]:
+			s.faultAt(e.line, key, "each item once", text)
+		default:
+			seen[item] = true
+			items = append(items, item)
+		}
+	}
+	return items
+}
