--- /dev/null
+++ b/rpc/keys.go
@@ -0,0 +1,12 @@
+package rpc
+
+// Keys of replicated records are one of these prefixes, then the record's name.
+// The deployment record's name is empty.
+const (
+	KeyDeployment    = "deployment/"
+	KeyQuietDC       = "quiet-dc/"
+	KeyQuietTarget   = "quiet-target/"
+	KeyRouter        = "router/"
+	KeyAssignment    = "assignment/"
+	KeyNonIdempotent = "non-idempotent/"
+)
