--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,103 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// meterName is the scope of all metrics of the system.
+const meterName = "github.com/peridotmux/peridotmux"
+
+// MetricsError says that a metric couldn't be set up.
+type MetricsError struct {
+	Name  string
+	Cause error
+}
+
+// Error describes the failure.
+func (e *MetricsError) Error() string { return "metric " + e.Name + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *MetricsError) Unwrap() error { return e.Cause }
+
+// Metrics holds the metrics of one process and the recorders that its parts
+// call.
+type Metrics struct {
+	Query Query
+	Owner Owner
+	Lease Lease
+
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+}
+
+// NewMetrics returns the metrics of one process, with a registry of their own.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, &MetricsError{Name: "exporter", Cause: err}
+	}
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m := &Metrics{registry: registry, provider: sdk.NewMeterProvider(sdk.WithReader(exporter))}
+	b := &builder{meter: m.provider.Meter(meterName)}
+	m.Query = newQuery(b)
+	m.Owner = newOwner(b)
+	m.Lease = newLease(b)
+	if b.err != nil {
+		return nil, b.err
+	}
+	return m, nil
+}
+
+// Handler serves the metrics page.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close ends the collection.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// builder makes instruments and keeps the first failure.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) keep(name string, err error) {
+	if err != nil && b.err == nil {
+		b.err = &MetricsError{Name: name, Cause: err}
+	}
+}
+
+func (b *builder) counter(name, unit, text string) metric.Int64Counter {
+	c, err := b.meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(text))
+	b.keep(name, err)
+	return c
+}
+
+func (b *builder) histogram(name, unit, text string, bounds []float64) metric.Float64Histogram {
+	h, err := b.meter.Float64Histogram(name, metric.WithUnit(unit), metric.WithDescription(text),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	b.keep(name, err)
+	return h
+}
+
+func (b *builder) gauge(name, unit, text string) metric.Float64ObservableGauge {
+	g, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(text))
+	b.keep(name, err)
+	return g
+}
+
+func (b *builder) observe(name string, callback metric.Callback, gauges ...metric.Observable) {
+	_, err := b.meter.RegisterCallback(callback, gauges...)
+	b.keep(name, err)
+}
