Add the targets' HTTP client and the stand-in target

Cause: the thin whole path needs a real protocol to targets. The client keeps its own connections over http.ReadResponse: it must know whether a byte of a search was handed to the kernel, and http.Transport may send a request again by itself. A closed idle connection is noticed before use. The stand-in has slots, a connection cap and cost, cold starts, shedding, draining, versions, lagging and lying health pages and a ledger.

Seen to fail: TestClosedIdleConnectionIsReplaced without the check of idle connections (Unknown, connection lost); TestAnswersAreClassified without the check of the echoed attempt, and of the version (both came out OK); TestCancelEndsTheSearchAndKeepsTheConnection without the cancel request (not ended).

--- /dev/null
+++ b/standin/ledger.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// End says how a search that a target began came to its end.
+type End string
+
+// Ends of searches.
+const (
+	Running   End = "running"
+	Answered  End = "answered"
+	Cancelled End = "cancelled"
+	TooLate   End = "too-late"
+	Lost      End = "lost"
+)
+
+// Entry is one search that a target began.
+type Entry struct {
+	Attempt   string           `json:"attempt"`
+	RequestID string           `json:"request_id"`
+	Shard     topology.ShardID `json:"shard"`
+	Version   uint64           `json:"version"`
+	BodyHash  string           `json:"body_hash"`
+	Begun     time.Time        `json:"begun"`
+	Ended     time.Time        `json:"ended"`
+	End       End              `json:"end"`
+}
+
+// Ledger is what one target began and finished. It survives restarts.
+type Ledger struct {
+	mu      sync.Mutex
+	entries []Entry
+	totals  Totals
+}
+
+// Totals are the counts of a Ledger.
+type Totals struct {
+	MostInFlight int `json:"most_in_flight"`
+	// ColdOverloads counts searches begun while a cold target already held all
+	// that it can carry.
+	ColdOverloads int `json:"cold_overloads"`
+	Shed          int `json:"shed"`
+	// RefusedConnections counts connections over the cap.
+	RefusedConnections int `json:"refused_connections"`
+	MostConnections    int `json:"most_connections"`
+}
+
+// Entries returns a copy of all entries in the order of their start.
+func (l *Ledger) Entries() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Entry(nil), l.entries...)
+}
+
+// Totals returns the counts.
+func (l *Ledger) Totals() Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.totals
+}
+
+// begin adds an entry and returns its place.
+func (l *Ledger) begin(e Entry, inFlight int, overload bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.End = Running
+	l.entries = append(l.entries, e)
+	l.totals.MostInFlight = max(l.totals.MostInFlight, inFlight)
+	if overload {
+		l.totals.ColdOverloads++
+	}
+	return len(l.entries) - 1
+}
+
+func (l *Ledger) end(place int, end End, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[place].End = end
+	l.entries[place].Ended = now
+}
+
+func (l *Ledger) count(edit func(*Totals)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	edit(&l.totals)
+}
--- /dev/null
+++ b/standin/target.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/peridotmux/peridotmux/target"
+)
+
+// Target is one stand-in target.
+type Target struct {
+	opts   Options
+	slots  *slots
+	ledger *Ledger
+	router *mux.Router
+
+	mu       sync.Mutex
+	cancels  map[string]chan struct{}
+	health   []healthSampleAt
+	lie      Lie
+	addr     netip.AddrPort
+	listener *listener
+	server   *http.Server
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+type healthSampleAt struct {
+	at     time.Time
+	health target.Health
+}
+
+// New returns a target that isn't listening.
+func New(o Options) *Target {
+	o = o.withDefaults()
+	t := &Target{
+		opts:    o,
+		slots:   newSlots(o),
+		ledger:  &Ledger{},
+		cancels: make(map[string]chan struct{}),
+	}
+	t.router = mux.NewRouter()
+	t.router.HandleFunc(target.PathSearch, t.serveSearch).Methods(http.MethodPost)
+	t.router.HandleFunc(target.PathCancel, t.serveCancel).Methods(http.MethodPost)
+	t.router.HandleFunc(target.PathHealth, t.serveHealth).Methods(http.MethodGet)
+	return t
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) { t.router.ServeHTTP(w, r) }
+
+// Ledger returns what the target ran.
+func (t *Target) Ledger() *Ledger { return t.ledger }
+
+// Options returns the target's options.
+func (t *Target) Options() Options { return t.opts }
+
+// Addr returns the address that the target listens on.
+func (t *Target) Addr() netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.addr
+}
+
+// Listen starts the server on addr. A port of 0 takes a free one.
+func (t *Target) Listen(addr netip.AddrPort) error {
+	inner, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return err
+	}
+	l := newListener(inner, t.opts, t.ledger)
+	server := &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
+	ctx, stop := context.WithCancel(context.Background())
+	t.mu.Lock()
+	t.addr = inner.Addr().(*net.TCPAddr).AddrPort()
+	t.listener, t.server, t.stop = l, server, stop
+	t.mu.Unlock()
+	t.done.Go(func() { _ = server.Serve(l) })
+	t.done.Go(func() { t.sampleHealth(ctx) })
+	return nil
+}
+
+// Kill ends the process without warning: connections and searches are lost,
+// and new connections are refused until Revive.
+func (t *Target) Kill() {
+	t.mu.Lock()
+	server, l, stop := t.server, t.listener, t.stop
+	t.server = nil
+	t.mu.Unlock()
+	if server == nil {
+		return
+	}
+	stop()
+	_ = l.Close()
+	t.slots.restart()
+	l.resetAll()
+	_ = server.Close()
+	t.done.Wait()
+}
+
+// Revive starts a new, cold process on the address held before Kill.
+func (t *Target) Revive() error { return t.Listen(t.Addr()) }
+
+// Close ends the target for good.
+func (t *Target) Close() { t.Kill() }
+
+// Restart ends the process and starts a new, cold one at once.
+func (t *Target) Restart() {
+	t.mu.Lock()
+	l := t.listener
+	t.mu.Unlock()
+	t.slots.restart()
+	if l != nil {
+		l.resetAll()
+	}
+}
+
+// TurnCold makes the running process cold without any sign.
+func (t *Target) TurnCold() {
+	t.slots.mu.Lock()
+	defer t.slots.mu.Unlock()
+	t.slots.cold = true
+	t.slots.work = 0
+}
+
+// SetSlow makes service times factor times longer; 1 is normal.
+func (t *Target) SetSlow(factor float64) {
+	t.slots.mu.Lock()
+	defer t.slots.mu.Unlock()
+	t.slots.slow = factor
+}
+
+// SetDraining makes the target refuse new searches, or take them again.
+func (t *Target) SetDraining(draining bool) {
+	t.slots.mu.Lock()
+	defer t.slots.mu.Unlock()
+	t.slots.draining = draining
+}
+
+// SetVersions replaces the index versions served, newest first.
+func (t *Target) SetVersions(versions ...uint64) {
+	t.slots.mu.Lock()
+	defer t.slots.mu.Unlock()
+	t.slots.versions = versions
+}
+
+// SetLie changes what the health page says; nil is the truth.
+func (t *Target) SetLie(l Lie) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lie = l
+}
--- /dev/null
+++ b/target/answer.go
@@ -0,0 +1,163 @@
+package target
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+)
+
+// maxVersions bounds the index versions that one answer may list.
+const maxVersions = 64
+
+// readAnswer reads the answer to a and says whether the connection can be used
+// again.
+func readAnswer(c *conn, a *attempt) (Outcome, bool) {
+	c.lim.N = MaxAnswerBytes + maxHeadBytes
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return readFailure(c, err), false
+	}
+	body, err := readBody(resp)
+	if err != nil {
+		return readFailure(c, err), false
+	}
+	out, ours := classify(resp, a)
+	if !ours {
+		return out, false
+	}
+	out.Body = body
+	if out.Status != OK {
+		out.Body = nil
+	}
+	return out, !resp.Close
+}
+
+// TooLargeError says that a target's answer passed MaxAnswerBytes.
+type TooLargeError struct{}
+
+// Error implements error.
+func (TooLargeError) Error() string { return "answer too large" }
+
+// readBody reads the whole body, up to MaxAnswerBytes.
+func readBody(resp *http.Response) ([]byte, error) {
+	n := resp.ContentLength
+	switch {
+	case n > MaxAnswerBytes:
+		return nil, TooLargeError{}
+	case n == 0:
+		return nil, nil
+	case n > 0:
+		body := make([]byte, n)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, err
+		}
+		return body, nil
+	}
+	var buf bytes.Buffer
+	read, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if read > MaxAnswerBytes {
+		return nil, TooLargeError{}
+	}
+	return buf.Bytes(), nil
+}
+
+// readFailure types a failure to read an answer. The search may have run.
+func readFailure(c *conn, err error) Outcome {
+	out := Outcome{Status: Unknown, Reason: ReasonBadAnswer}
+	switch {
+	case isTimeout(err):
+		out.Reason = ReasonConnectionLost
+	case c.lim.N <= 0:
+		out.Reason = ReasonBadAnswer
+	case isEndOfConnection(err):
+		out.Reason = ReasonConnectionLost
+	}
+	return out
+}
+
+// classify types an answer whose body was read, and says whether it belongs to
+// a.
+func classify(resp *http.Response, a *attempt) (Outcome, bool) {
+	h := resp.Header
+	s := &a.search
+	out := Outcome{Status: Unknown, Reason: ReasonBadAnswer}
+	if h.Get(HeaderAttempt) != a.number || h.Get(HeaderShard) != string(s.Target.Shard) {
+		return out, false
+	}
+	out.Process, _ = strconv.ParseUint(h.Get(HeaderProcess), 10, 64)
+	out.Versions = parseVersions(h.Get(HeaderVersions))
+	out.Ended = true
+	if h.Get(HeaderStarted) == "no" {
+		return classifyNotStarted(resp.StatusCode, out)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		version, err := strconv.ParseUint(h.Get(HeaderIndexVersion), 10, 64)
+		if err != nil || version != s.IndexVersion || h.Get("Content-Encoding") != "" {
+			return Outcome{Status: Unknown, Reason: ReasonBadAnswer, Ended: true}, false
+		}
+		out.Status, out.Reason, out.IndexVersion = OK, ReasonNone, version
+	case StatusCancelled:
+		out.Reason = ReasonCancelled
+	case StatusTooLate:
+		out.Reason = ReasonDeadline
+	default:
+		out.Reason = ReasonTargetError
+	}
+	return out, true
+}
+
+func classifyNotStarted(status int, out Outcome) (Outcome, bool) {
+	out.Status = NotStarted
+	switch status {
+	case http.StatusOK:
+		return Outcome{Status: Unknown, Reason: ReasonBadAnswer}, false
+	case StatusShed:
+		out.Reason = ReasonShed
+	case StatusDraining:
+		out.Reason = ReasonDraining
+	case StatusVersionGone:
+		out.Reason = ReasonVersionGone
+	case StatusCancelled:
+		out.Reason = ReasonCancelled
+	case StatusTooLate:
+		out.Reason = ReasonDeadline
+	default:
+		out.Reason = ReasonTargetError
+	}
+	return out, true
+}
+
+func parseVersions(list string) []uint64 {
+	if list == "" {
+		return nil
+	}
+	var versions []uint64
+	for field := range strings.SplitSeq(list, ",") {
+		v, err := strconv.ParseUint(strings.TrimSpace(field), 10, 64)
+		if err != nil || len(versions) == maxVersions {
+			return versions
+		}
+		versions = append(versions, v)
+	}
+	return versions
+}
+
+func isEndOfConnection(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
+}
+
+// isTimeout reports whether err says that a connection's deadline passed.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/target/client.go
@@ -0,0 +1,135 @@
+package target
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+const (
+	// DefaultMaxConnections bounds the connections to one target.
+	DefaultMaxConnections = 24
+	// DefaultConnectTimeout bounds how long a new connection may take.
+	DefaultConnectTimeout = 250 * time.Millisecond
+	// DefaultCancelWait bounds how long a cancelled search waits for the target
+	// to say that it ended.
+	DefaultCancelWait = 50 * time.Millisecond
+	// deadlineGrace lets the target's own StatusTooLate arrive, so that the
+	// connection survives.
+	deadlineGrace = 25 * time.Millisecond
+)
+
+// Options sets up a Client. Zero fields take the defaults.
+type Options struct {
+	// MaxConnections bounds the connections to one target.
+	MaxConnections int
+	ConnectTimeout time.Duration
+	CancelWait     time.Duration
+	// LocalAddr is the address that connections start from, if it is valid.
+	LocalAddr netip.Addr
+}
+
+// Client is the Searcher over HTTP/1.1. It follows no redirects, uses no proxy
+// and never sends a search twice.
+//
+// It keeps its own connections, because the promises need to know whether a
+// byte of a search was handed to the kernel; http.Transport doesn't tell and
+// may send a request again by itself.
+type Client struct {
+	opts    Options
+	dialer  net.Dialer
+	attempt atomic.Uint64
+
+	mu    sync.Mutex
+	pools map[topology.TargetID]*pool
+}
+
+var _ Searcher = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient(o Options) *Client {
+	if o.MaxConnections == 0 {
+		o.MaxConnections = DefaultMaxConnections
+	}
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = DefaultConnectTimeout
+	}
+	if o.CancelWait == 0 {
+		o.CancelWait = DefaultCancelWait
+	}
+	c := &Client{opts: o, pools: make(map[topology.TargetID]*pool)}
+	c.dialer.KeepAlive = time.Minute
+	if o.LocalAddr.IsValid() {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: o.LocalAddr.AsSlice()}
+	}
+	c.attempt.Store(randomBase())
+	return c
+}
+
+// randomBase makes attempt numbers of different clients differ.
+func randomBase() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // Never fails, says crypto/rand.
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// Search implements Searcher.
+func (c *Client) Search(ctx context.Context, s Search) Outcome {
+	a := attempt{
+		client: c,
+		search: s,
+		pool:   c.pool(s.Target),
+		number: strconv.FormatUint(c.attempt.Add(1), 10),
+	}
+	begun := time.Now()
+	out := a.run(ctx)
+	out.Service = time.Since(begun)
+	return out
+}
+
+// Release implements Searcher. Connections in use close after their search.
+func (c *Client) Release(id topology.TargetID) {
+	c.mu.Lock()
+	p := c.pools[id]
+	delete(c.pools, id)
+	c.mu.Unlock()
+	if p != nil {
+		p.close()
+	}
+}
+
+// Close closes the connections to all targets.
+func (c *Client) Close() {
+	c.mu.Lock()
+	pools := c.pools
+	c.pools = make(map[topology.TargetID]*pool)
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.close()
+	}
+}
+
+// pool returns the connections to t. A target that moved to another address
+// gets a new pool.
+func (c *Client) pool(t *topology.Target) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[t.ID]
+	if p != nil && p.addr == t.Addr {
+		return p
+	}
+	if p != nil {
+		go p.close()
+	}
+	p = newPool(c, t.Addr)
+	c.pools[t.ID] = p
+	return p
+}
