Add the thin query path: owner, query decisions, entry

Cause: there was no path from a caller's query to the targets.

Change: package owner holds one queue a shard over the targets a router owns, their limits, the cold-start ramp, outlier ejection, the fence on take-over and the lease check before each start. Package query holds the decisions as step functions (index version, owner, hedge, retry, admission, when to stop). Package entry decodes and checks queries, scatters, gathers, claims the keys of non-idempotent requests and answers. internal/faketarget is a Searcher without sockets for tests.

Proved: go test -race ./entry (one query over 25 shards, 3 owners, under synctest). Everything else is untested so far.

--- /dev/null
+++ b/entry/decode.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+const (
+	// maxKeyBytes bounds a request key.
+	maxKeyBytes = 256
+	// answerShare and answerMargin set aside a part of the caller's deadline for
+	// the way back: the share, but no more than the margin.
+	answerShare  = 0.05
+	answerMargin = 10 * time.Millisecond
+)
+
+// request is a checked query with all of its terms settled.
+type request struct {
+	id          string
+	kind        *topology.Kind
+	shards      []topology.ShardID
+	policy      topology.Policy
+	minCoverage float64
+	once        bool
+	key         string
+	start       time.Time
+	// limit is the time until the deadline.
+	limit time.Duration
+	body  []byte
+	// hash identifies all that a resend with the same key must repeat.
+	hash uint64
+}
+
+func (r *request) deadline() time.Time { return r.start.Add(r.limit) }
+
+// readQuery reads the body of an HTTP request.
+func readQuery(w http.ResponseWriter, r *http.Request) ([]byte, *api.Refusal) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxQueryBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuse(api.CodeTooLarge, "the query is larger than "+strconv.Itoa(api.MaxQueryBytes)+" bytes")
+	case err != nil:
+		return nil, refuse(api.CodeMalformed, "the query couldn't be read whole")
+	}
+	return raw, nil
+}
+
+// decode parses a query strictly: unknown fields and anything after the query
+// are refused.
+func decode(raw []byte) (*api.Query, *api.Refusal) {
+	q := &api.Query{}
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(q); err != nil {
+		return nil, malformed(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, refuse(api.CodeMalformed, "something follows the query")
+	}
+	return q, nil
+}
+
+func malformed(err error) *api.Refusal {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return refuseField(api.CodeBadField, wrongType.Field, "wrong type: "+wrongType.Value)
+	}
+	return refuse(api.CodeMalformed, "not a query in JSON: "+err.Error())
+}
+
+// check settles the terms of a query against a view.
+func check(q *api.Query, v *board.View) (*request, *api.Refusal) {
+	kind := v.Topology.Kind(q.Kind)
+	if kind == nil {
+		return nil, refuseField(api.CodeUnknownKind, "kind", "no such kind")
+	}
+	r := &request{kind: kind, policy: kind.Policy, minCoverage: kind.MinCoverage, key: q.RequestKey, body: q.Body}
+	checks := []func(*api.Query, *board.View) *api.Refusal{
+		r.setShards, r.setDeadline, r.setPolicy, r.setOnce,
+	}
+	for _, c := range checks {
+		if refusal := c(q, v); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if r.once {
+		r.hash = hashOf(q)
+	}
+	return r, nil
+}
+
+func (r *request) setShards(q *api.Query, v *board.View) *api.Refusal {
+	if len(q.Groups)+len(q.Shards) > api.MaxShards {
+		return refuseField(api.CodeBadField, "shards", "too many")
+	}
+	seen := make(map[topology.ShardID]bool)
+	add := func(s topology.ShardID) {
+		if !seen[s] {
+			seen[s] = true
+			r.shards = append(r.shards, s)
+		}
+	}
+	for _, name := range q.Groups {
+		g := v.Topology.Group(name)
+		if g == nil {
+			return refuseField(api.CodeUnknownGroup, "groups", "no such group: "+clip(string(name)))
+		}
+		for _, s := range g.Shards {
+			add(s)
+		}
+	}
+	for _, s := range q.Shards {
+		if v.Topology.GroupOf(s) == nil {
+			return refuseField(api.CodeUnknownShard, "shards", "no such shard: "+clip(string(s)))
+		}
+		add(s)
+	}
+	if len(r.shards) == 0 {
+		r.shards = v.Topology.Shards()
+	}
+	if len(r.shards) == 0 || len(r.shards) > api.MaxShards {
+		return refuseField(api.CodeBadField, "shards", "no shard or too many shards asked")
+	}
+	return nil
+}
+
+func (r *request) setDeadline(q *api.Query, _ *board.View) *api.Refusal {
+	if q.DeadlineMS < 0 || q.DeadlineMS > api.MaxDeadlineMS {
+		return refuseField(api.CodeBadDeadline, "deadline_ms", "must lie between 1 and "+strconv.Itoa(api.MaxDeadlineMS))
+	}
+	whole := r.kind.Deadline
+	if q.DeadlineMS > 0 {
+		whole = time.Duration(q.DeadlineMS) * time.Millisecond
+	}
+	if whole <= 0 {
+		return refuseField(api.CodeBadDeadline, "deadline_ms", "the kind has no default")
+	}
+	r.limit = whole - min(answerMargin, time.Duration(answerShare*float64(whole)))
+	return nil
+}
+
+func (r *request) setPolicy(q *api.Query, _ *board.View) *api.Refusal {
+	switch q.Policy {
+	case "":
+	case topology.PolicyCoverage, topology.PolicyLatency:
+		r.policy = q.Policy
+	default:
+		return refuseField(api.CodeBadField, "policy", "must be coverage or latency")
+	}
+	if q.MinCoverage == nil {
+		return nil
+	}
+	if *q.MinCoverage < 0 || *q.MinCoverage > 1 {
+		return refuseField(api.CodeBadField, "min_coverage", "must lie between 0 and 1")
+	}
+	r.minCoverage = *q.MinCoverage
+	return nil
+}
+
+// setOnce decides whether the request may run only once. The caller can
+// tighten what the operators declared but not loosen it.
+func (r *request) setOnce(q *api.Query, v *board.View) *api.Refusal {
+	r.once = !r.kind.Idempotent || v.NonIdempotent[r.kind.Name]
+	if q.Idempotent != nil && !*q.Idempotent {
+		r.once = true
+	}
+	if len(q.RequestKey) > maxKeyBytes {
+		return refuseField(api.CodeBadField, "request_key", "too long")
+	}
+	if r.once && q.RequestKey == "" {
+		return refuseField(api.CodeKeyMissing, "request_key", "a non-idempotent request needs a key")
+	}
+	return nil
+}
+
+// hashOf hashes what a resend must repeat: kind, groups, shards and body, as
+// they were sent.
+func hashOf(q *api.Query) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(q.Kind))
+	for _, g := range q.Groups {
+		_, _ = h.WriteString("\x00" + string(g))
+	}
+	_, _ = h.WriteString("\x01")
+	for _, s := range q.Shards {
+		_, _ = h.WriteString("\x00" + string(s))
+	}
+	_, _ = h.WriteString("\x02")
+	_, _ = h.Write(q.Body)
+	return h.Sum64()
+}
+
+const clipAt = 64
+
+// clip shortens what a caller sent before it is repeated in a message.
+func clip(s string) string {
+	if len(s) > clipAt {
+		return s[:clipAt] + "..."
+	}
+	return s
+}
--- /dev/null
+++ b/entry/log.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/query"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+)
+
+// logQuery writes the one line that holds a query's routing decisions.
+func (s *Server) logQuery(req *request, sc *scatter, a *api.Answer, answered bool) {
+	if !s.cfg.Log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	c := sc.gather.Counts
+	s.cfg.Log.Info("query",
+		"request", req.id, "kind", req.kind.Name, "policy", req.policy, "once", req.once,
+		"version", a.Snapshot, "asked", a.Asked, "covered", a.Covered, "answered", answered,
+		"took", time.Since(req.start), "sent", c.Sent, "hedges", c.Hedges, "retries", c.Retries,
+		"replans", c.Replans, "dropped", c.Dropped, "pressure", sc.gather.Pressure(),
+		"missing", missingText(a.Missing), "routes", routesText(sc.plan, sc.replies))
+}
+
+func (s *Server) logRefusal(id string, r *api.Refusal, took time.Duration) {
+	s.cfg.Log.Info("query refused", "request", id, "code", r.Code, "execution", r.Execution,
+		"field", r.Field, "took", took)
+}
+
+func missingText(ms []api.MissingShard) string {
+	var b strings.Builder
+	for _, m := range ms {
+		b.WriteString(string(m.Shard) + ":" + string(m.Reason) + " ")
+	}
+	return strings.TrimSuffix(b.String(), " ")
+}
+
+// routesText tells, for each attempt that ended, its owner and target. A plus
+// marks hedges, an exclamation mark attempts without a result.
+func routesText(plan query.Plan, replies []query.Result) string {
+	var b strings.Builder
+	for _, r := range replies {
+		if r.Attempt.Shard < len(plan.Shards) {
+			b.WriteString(string(plan.Shards[r.Attempt.Shard].Route.Shard))
+		}
+		if r.Attempt.Hedge {
+			b.WriteByte('+')
+		}
+		if r.Reply.GetStatus() != pb.SubStatus_SUB_STATUS_OK {
+			b.WriteByte('!')
+		}
+		b.WriteString("@" + string(r.Attempt.Owner) + ">" + r.Reply.GetTarget() + " ")
+	}
+	return strings.TrimSuffix(b.String(), " ")
+}
--- /dev/null
+++ b/internal/faketarget/faketarget.go
@@ -0,0 +1,154 @@
+// Package faketarget has a target.Searcher without sockets, for tests.
+package faketarget
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/peridotmux/peridotmux/target"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Searcher is a set of fake targets. Each one ledgers what it ran.
+type Searcher struct {
+	mu      sync.Mutex
+	targets map[topology.TargetID]*Target
+	// NewTarget makes a target at its first use.
+	newTarget func(*topology.Target) *Target
+}
+
+// Target is one fake target. Its fields may be changed through Edit.
+type Target struct {
+	Process  uint64
+	Versions []uint64
+	// Carries is the number of searches it carries at once; more are counted as
+	// overload.
+	Carries int
+	// Service gives the time of the next search.
+	Service func() time.Duration
+	// Answer overrides how a search ends, if it returns true.
+	Answer func(target.Search) (target.Outcome, bool)
+	// Lost resets each connection after the start.
+	Lost bool
+
+	InFlight, MaxInFlight, Overloads int
+	// Started lists the request ids of the searches that ran, in order.
+	Started []string
+	// LastStart is when the last search started.
+	LastStart time.Time
+}
+
+// New returns a searcher whose targets are made by newTarget.
+func New(newTarget func(*topology.Target) *Target) *Searcher {
+	return &Searcher{targets: make(map[topology.TargetID]*Target), newTarget: newTarget}
+}
+
+// Steady returns a maker of warm targets with one service time and version.
+func Steady(service time.Duration, carries int) func(*topology.Target) *Target {
+	return func(*topology.Target) *Target {
+		return &Target{
+			Process:  1,
+			Versions: []uint64{1},
+			Carries:  carries,
+			Service:  func() time.Duration { return service },
+		}
+	}
+}
+
+func (s *Searcher) get(t *topology.Target) *Target {
+	f := s.targets[t.ID]
+	if f == nil {
+		f = s.newTarget(t)
+		s.targets[t.ID] = f
+	}
+	return f
+}
+
+// Edit changes or reads one target under the lock.
+func (s *Searcher) Edit(t *topology.Target, edit func(*Target)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(s.get(t))
+}
+
+// Search runs one attempt.
+func (s *Searcher) Search(ctx context.Context, q target.Search) target.Outcome {
+	begun := time.Now()
+	s.mu.Lock()
+	f := s.get(q.Target)
+	if f.Answer != nil {
+		if out, ok := f.Answer(q); ok {
+			if out.Status != target.NotStarted {
+				f.begin(q)
+				f.InFlight--
+			}
+			s.mu.Unlock()
+			return out
+		}
+	}
+	out := target.Outcome{Process: f.Process, Versions: slices.Clone(f.Versions), Ended: true}
+	if !slices.Contains(f.Versions, q.IndexVersion) {
+		s.mu.Unlock()
+		out.Status, out.Reason = target.NotStarted, target.ReasonVersionGone
+		return out
+	}
+	f.begin(q)
+	service, lost := f.Service(), f.Lost
+	s.mu.Unlock()
+	reason := wait(ctx, service, q.Deadline)
+	s.mu.Lock()
+	f.InFlight--
+	s.mu.Unlock()
+	out.Service = time.Since(begun)
+	switch {
+	case lost:
+		return target.Outcome{Status: target.Unknown, Reason: target.ReasonConnectionLost, Service: out.Service, Ended: true}
+	case reason != target.ReasonNone:
+		out.Status, out.Reason = target.Unknown, reason
+		return out
+	}
+	out.Status, out.IndexVersion = target.OK, q.IndexVersion
+	out.Body = []byte(`"` + string(q.Target.Shard) + `"`)
+	return out
+}
+
+func (f *Target) begin(q target.Search) {
+	f.InFlight++
+	f.MaxInFlight = max(f.MaxInFlight, f.InFlight)
+	if f.InFlight > f.Carries {
+		f.Overloads++
+	}
+	f.Started = append(f.Started, q.RequestID)
+	f.LastStart = time.Now()
+}
+
+func wait(ctx context.Context, d time.Duration, deadline time.Time) target.Reason {
+	reason := target.ReasonNone
+	if left := time.Until(deadline); left < d {
+		d, reason = left, target.ReasonDeadline
+	}
+	if d <= 0 {
+		return reason
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return reason
+	case <-ctx.Done():
+		return target.ReasonCancelled
+	}
+}
+
+// Health reports the target's state without lag.
+func (s *Searcher) Health(_ context.Context, t *topology.Target) (target.Health, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.get(t)
+	return target.Health{Process: f.Process, InFlight: f.InFlight, Versions: slices.Clone(f.Versions)}, nil
+}
+
+// Release does nothing.
+func (s *Searcher) Release(topology.TargetID) {}
--- /dev/null
+++ b/owner/choose.go
@@ -0,0 +1,104 @@
+package owner
+
+import "time"
+
+const (
+	// stallFactor is how many usual service times a search may run before its
+	// target gets nothing more while others have room.
+	stallFactor = 4.0
+)
+
+// choose returns the target with a free slot that should run j, or nil if j
+// had better wait. What the owner saw itself decides: failures, latency and
+// searches in flight. Targets that stand out get nothing but probes while
+// another one can serve the job.
+func (s *shard) choose(j *job, now time.Time) *replica {
+	best := s.bestLatency()
+	var chosen, last, probe *replica
+	healthy := false
+	for _, r := range s.replicas {
+		if !s.eligible(r, j) {
+			continue
+		}
+		bad := s.judge(r, best, now)
+		healthy = healthy || !bad
+		if r.free() <= 0 {
+			continue
+		}
+		switch {
+		case !bad:
+			chosen = better(chosen, r)
+		case r.outlier.due(now) && len(r.running) == 0 && !j.request.GetHedge():
+			probe = better(probe, r)
+		default:
+			last = better(last, r)
+		}
+	}
+	if probe != nil {
+		probe.outlier = probe.outlier.probed(now)
+		return probe
+	}
+	if chosen != nil || healthy {
+		return chosen
+	}
+	return last
+}
+
+func (s *shard) eligible(r *replica, j *job) bool {
+	q := j.request
+	if q.GetHedge() && r.runs(q.GetRequestId()) {
+		return false
+	}
+	return r.usable() && r.serves(q.GetIndexVersion()) && !j.excludes(r.id())
+}
+
+// judge reports whether r stands out, and starts or ends its ejection.
+func (s *shard) judge(r *replica, best time.Duration, now time.Time) bool {
+	bad := r.outlier.bad(best)
+	switch {
+	case bad && !r.outlier.ejectedSince():
+		r.outlier = r.outlier.eject(now)
+	case !bad && r.outlier.ejectedSince():
+		r.outlier = r.outlier.readmit()
+	}
+	return bad || s.stalled(r, now)
+}
+
+// stalled reports whether a search at r runs far longer than usual.
+func (s *shard) stalled(r *replica, now time.Time) bool {
+	if s.service == 0 || len(r.running) == 0 {
+		return false
+	}
+	limit := time.Duration(stallFactor * float64(s.service))
+	return now.Sub(r.running[0].started) > limit
+}
+
+// bestLatency returns the least average latency of the usable targets, 0 if
+// none is known.
+func (s *shard) bestLatency() time.Duration {
+	var best time.Duration
+	for _, r := range s.replicas {
+		l := r.outlier.latency
+		if r.usable() && l > 0 && (best == 0 || l < best) {
+			best = l
+		}
+	}
+	return best
+}
+
+// better returns the one of a and b with the lesser load for its limit, then
+// the lesser latency. A may be nil.
+func better(a, b *replica) *replica {
+	if a == nil {
+		return b
+	}
+	if cost(b) < cost(a) {
+		return b
+	}
+	return a
+}
+
+func cost(r *replica) float64 {
+	load := float64(len(r.running)+1) / float64(r.ramp.Limit())
+	return load * float64(max(r.outlier.latency, time.Millisecond))
+}
--- /dev/null
+++ b/query/learned.go
@@ -0,0 +1,109 @@
+package query
+
+import (
+	"sync"
+	"time"
+
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// OwnerState is what replies told of one shard at one owner.
+type OwnerState struct {
+	Owner    topology.VMName
+	Queued   int
+	Slots    int
+	Versions []uint64
+	// At is when the newest of the replies arrived.
+	At time.Time
+	// Sent counts sub-requests sent since then.
+	Sent int
+	// Failed is when the owner last couldn't be reached or had no lease.
+	Failed time.Time
+}
+
+// Learned gathers what the replies of all queries told of shards and owners.
+// It is safe for concurrent use.
+type Learned struct {
+	mu     sync.RWMutex
+	shards map[topology.ShardID]*learnedShard
+}
+
+type learnedShard struct {
+	mu     sync.Mutex
+	owners []OwnerState
+}
+
+// NewLearned returns an empty store.
+func NewLearned() *Learned {
+	return &Learned{shards: make(map[topology.ShardID]*learnedShard)}
+}
+
+func (l *Learned) shard(id topology.ShardID) *learnedShard {
+	l.mu.RLock()
+	s := l.shards[id]
+	l.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s = l.shards[id]; s == nil {
+		s = &learnedShard{}
+		l.shards[id] = s
+	}
+	return s
+}
+
+func (s *learnedShard) owner(name topology.VMName) *OwnerState {
+	for i := range s.owners {
+		if s.owners[i].Owner == name {
+			return &s.owners[i]
+		}
+	}
+	s.owners = append(s.owners, OwnerState{Owner: name})
+	return &s.owners[len(s.owners)-1]
+}
+
+// State returns what is known of a shard at an owner.
+func (l *Learned) State(id topology.ShardID, owner topology.VMName) OwnerState {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *s.owner(owner)
+}
+
+// Sent counts a sub-request that goes to an owner.
+func (l *Learned) Sent(id topology.ShardID, owner topology.VMName) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner(owner).Sent++
+}
+
+// Reply takes in a reply of an owner.
+func (l *Learned) Reply(id topology.ShardID, owner topology.VMName, r *pb.SubReply, now time.Time) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.owner(owner)
+	if noLease(r) {
+		o.Failed = now
+		return
+	}
+	o.Queued, o.Slots, o.At, o.Sent = int(r.GetQueued()), int(r.GetSlots()), now, 0
+	o.Versions = r.GetVersions()
+	o.Failed = time.Time{}
+}
+
+func noLease(r *pb.SubReply) bool {
+	return r.GetReason() == pb.SubReason_SUB_REASON_NO_LEASE
+}
+
+// Lost notes that an owner couldn't be reached.
+func (l *Learned) Lost(id topology.ShardID, owner topology.VMName, now time.Time) {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner(owner).Failed = now
+}
