Add the shared state above the log, its service and administration API

Cause: routers need leases, records and claims, and operators intents. Change: the state machine (records with versions, intents, command numbers, claims), plan, placement, the Follow, Claims and Member services, the administration API, and a member's server, over a fake log of one process. ClaimRequest gains attempt and release, FollowRequest gains loads, and the Member service lets members report their routers to the leader. Proved: go test -race ./control/... (one test over two members: submit and confirm through a follower, Follow, leases, assignments, status).

--- a/api/api.go
+++ b/api/api.go
@@ -132,6 +132,8 @@
 	CodeExpired        Code = "expired"
 	CodeNotLeader      Code = "not-leader"
 	CodeUnknownOutcome Code = "unknown-outcome"
+	CodeCommandReused  Code = "command-reused"
+	CodeNotConfirmable Code = "not-confirmable"
 )
 
 // Refusal is the body of every answer that isn't a success.
@@ -144,6 +146,12 @@
 	Field string `json:"field,omitempty"`
 	// RetryAfterMS is also sent as the Retry-After header, in whole seconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// Leader is the leader's address when another member must be asked.
+	Leader string `json:"leader,omitempty"`
+	// Conflict shows what won against a confirmation.
+	Conflict *Conflict `json:"conflict,omitempty"`
+	// Intent is the intent that is refused; its plan says why.
+	Intent *Intent `json:"intent,omitempty"`
 	// Status is the HTTP status code.
 	Status int `json:"-"`
 }
--- /dev/null
+++ b/control/server/server.go
@@ -0,0 +1,130 @@
+// Package server runs one member of control: the service for routers and other
+// members, and the administration API.
+package server
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/control"
+	"github.com/peridotmux/peridotmux/control/admin"
+	"github.com/peridotmux/peridotmux/control/service"
+	"github.com/peridotmux/peridotmux/control/state"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+)
+
+const (
+	// headerTimeout bounds the time that a client takes for the headers.
+	headerTimeout = 5 * time.Second
+	// shutdownTimeout bounds the time that requests get to end.
+	shutdownTimeout = 5 * time.Second
+)
+
+// Group is what the consensus package gives a member.
+type Group struct {
+	Log control.Log
+	// Members is nil if the membership can't be changed.
+	Members control.Membership
+	// Register adds the group's own rpc services, if any.
+	Register func(drpc.Mux) error
+	// Run runs the group's work until ctx ends, if there is any.
+	Run func(ctx context.Context) error
+}
+
+// GroupFactory starts the replicated log over a state machine.
+type GroupFactory func(ctx context.Context, sm control.StateMachine) (*Group, error)
+
+// Config is what a member needs.
+type Config struct {
+	// Member names this member.
+	Member string
+	// Peers lists all members with their addresses, this one included.
+	Peers []admin.Peer
+	// RPC and HTTP are the listeners. Run closes them.
+	RPC    net.Listener
+	HTTP   net.Listener
+	Group  GroupFactory
+	Limits state.Limits
+	Logger *slog.Logger
+	// Pages adds other pages to the HTTP server, such as metrics; may be nil.
+	Pages func(*mux.Router)
+}
+
+// Run runs a member until ctx ends.
+func Run(ctx context.Context, c Config) error {
+	st := state.New(c.Limits)
+	work, ctx := errgroup.WithContext(ctx)
+	group, err := c.Group(ctx, st)
+	if err != nil {
+		return err
+	}
+	svc := service.New(service.Config{Member: c.Member, State: st, Log: group.Log, Logger: c.Logger})
+	if group.Run != nil {
+		work.Go(func() error { return group.Run(ctx) })
+	}
+	work.Go(func() error {
+		svc.Run(ctx)
+		return nil
+	})
+	work.Go(func() error {
+		return rpc.Serve(ctx, c.RPC, func(m drpc.Mux) error { return register(m, svc, group) })
+	})
+	work.Go(func() error { return serveHTTP(ctx, c, group, st, svc) })
+	c.Logger.Info("control member runs", "member", c.Member,
+		"rpc", c.RPC.Addr().String(), "http", c.HTTP.Addr().String())
+	err = work.Wait()
+	if ctx.Err() != nil && err == nil {
+		return nil
+	}
+	return err
+}
+
+func register(m drpc.Mux, svc *service.Service, group *Group) error {
+	if err := pb.DRPCRegisterControl(m, svc); err != nil {
+		return err
+	}
+	if err := pb.DRPCRegisterMember(m, svc); err != nil {
+		return err
+	}
+	if group.Register == nil {
+		return nil
+	}
+	return group.Register(m)
+}
+
+func serveHTTP(ctx context.Context, c Config, group *Group, st *state.State, svc *service.Service) error {
+	r := mux.NewRouter()
+	admin.New(admin.Config{
+		State: st, Log: group.Log, Reports: svc.Reports(),
+		Peers: c.Peers, Members: group.Members, Logger: c.Logger,
+	}).Register(r)
+	r.HandleFunc(api.PathLive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc(api.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if group.Log.Leadership().LeaderAddr == "" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if c.Pages != nil {
+		c.Pages(r)
+	}
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: api.MaxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = srv.Shutdown(ctx)
+	})
+	defer stop()
+	if err := srv.Serve(c.HTTP); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/control/state/intents.go
@@ -0,0 +1,350 @@
+package state
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/control/plan"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// intentStore keeps the intents in the order in which they were stated.
+type intentStore struct {
+	byID    map[string]*api.Intent
+	byPlan  map[string]*api.Intent
+	ordered []*api.Intent
+}
+
+func newIntentStore() *intentStore {
+	return &intentStore{byID: make(map[string]*api.Intent), byPlan: make(map[string]*api.Intent)}
+}
+
+func (s *intentStore) add(in *api.Intent) {
+	s.byID[in.ID] = in
+	if in.Plan != nil {
+		s.byPlan[in.Plan.ID] = in
+	}
+	s.ordered = append(s.ordered, in)
+}
+
+func (s *intentStore) find(id string) (*api.Intent, bool) {
+	if in, ok := s.byID[id]; ok {
+		return in, true
+	}
+	in, ok := s.byPlan[id]
+	return in, ok
+}
+
+func (s *intentStore) list() []api.Intent {
+	out := make([]api.Intent, 0, len(s.ordered))
+	for _, in := range slices.Backward(s.ordered) {
+		out = append(out, copyIntent(in))
+	}
+	return out
+}
+
+// planned lists the intents that wait for a confirmation.
+func (s *intentStore) planned() []*api.Intent {
+	var out []*api.Intent
+	for _, in := range s.ordered {
+		if in.State == api.IntentPlanned {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// forget drops the oldest finished intents above limit, but none that keep
+// something quiet.
+func (s *intentStore) forget(limit int, keep func(id string) bool) {
+	excess := len(s.ordered) - limit
+	s.ordered = slices.DeleteFunc(s.ordered, func(in *api.Intent) bool {
+		if excess <= 0 || !finished(in.State) || keep(in.ID) {
+			return false
+		}
+		excess--
+		delete(s.byID, in.ID)
+		if in.Plan != nil {
+			delete(s.byPlan, in.Plan.ID)
+		}
+		return true
+	})
+}
+
+func finished(s api.IntentState) bool {
+	switch s {
+	case api.IntentSettled, api.IntentRefused, api.IntentExpired, api.IntentSuperseded, api.IntentWithdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
+// copyIntent copies what later entries change.
+func copyIntent(in *api.Intent) api.Intent {
+	out := *in
+	out.History = slices.Clone(in.History)
+	return out
+}
+
+func refuse(code api.Code, message string) *api.Refusal {
+	return &api.Refusal{Code: code, Message: message, Execution: api.NotRun}
+}
+
+// transit moves an intent to a state.
+func (s *State) transit(in *api.Intent, to api.IntentState) {
+	in.State = to
+	in.History = append(in.History, api.Transition{State: to, Index: s.index, At: s.now()})
+	if finished(to) || to == api.IntentConfirmed {
+		// The deployment record holds it from now on.
+		in.Spec.Deployment = nil
+	}
+}
+
+func (s *State) result(in *api.Intent, refusal *api.Refusal) *Result {
+	out := copyIntent(in)
+	return &Result{Intent: &out, Refusal: refusal}
+}
+
+// submit states an intent and plans it.
+func (s *State) submit(c *Submit) *Result {
+	number := strconv.FormatUint(s.index, 10)
+	in := &api.Intent{ID: "i-" + number, Spec: c.Spec}
+	s.transit(in, api.IntentSubmitted)
+	in.Plan = plan.Make(plan.Input{
+		ID: "p-" + number, View: s.view, Base: s.base, Now: s.now(), Loads: c.Loads, Spec: &c.Spec,
+	})
+	if len(s.intents.planned()) >= s.limits.Plans {
+		in.Plan.Refusals = append(in.Plan.Refusals, api.PlanRefusal{
+			Reason: api.PlanTooMany, Message: "too many plans wait for a confirmation; withdraw some",
+		})
+	}
+	s.intents.add(in)
+	s.intents.forget(s.limits.Intents, s.holdsQuiet)
+	if in.Plan.Refused() {
+		s.transit(in, api.IntentRefused)
+		return s.result(in, refuse(api.CodePlanRefused, "the plan is refused; its refusals say why"))
+	}
+	s.transit(in, api.IntentPlanned)
+	return s.result(in, nil)
+}
+
+// confirm accepts a plan if nothing that it depends on has changed.
+func (s *State) confirm(c *Confirm) *Result {
+	in, ok := s.intents.byPlan[c.Plan]
+	if !ok {
+		return &Result{Refusal: refuse(api.CodeNotFound, "there is no plan "+c.Plan)}
+	}
+	if in.State == api.IntentPlanned && s.overdue(in) {
+		s.transit(in, api.IntentExpired)
+	}
+	switch {
+	case in.State == api.IntentExpired:
+		return s.result(in, refuse(api.CodeExpired, "the plan is too old; state the intent again"))
+	case in.State == api.IntentPlanned && c.Base == in.Plan.Base && c.Base == s.base:
+		s.accept(in)
+		return s.result(in, nil)
+	case in.State == api.IntentPlanned || in.State == api.IntentSuperseded:
+		return s.result(in, s.conflict("another change came first; state the intent again"))
+	default:
+		return s.result(in, refuse(api.CodeNotConfirmable, "the intent is "+string(in.State)))
+	}
+}
+
+func (s *State) conflict(message string) *api.Refusal {
+	r := refuse(api.CodeConflict, message)
+	r.Conflict = &api.Conflict{Base: s.base, Intent: s.winner}
+	if w, ok := s.intents.byID[s.winner]; ok {
+		r.Conflict.Kind = w.Spec.Kind
+		r.Conflict.State = w.State
+		if w.Plan != nil {
+			r.Conflict.Plan = w.Plan.ID
+		}
+	}
+	return r
+}
+
+func (s *State) overdue(in *api.Intent) bool {
+	planned := in.History[len(in.History)-1].At
+	return s.now().Sub(planned) > s.limits.PlanLifetime
+}
+
+// accept puts a plan's changes into records and ends the other plans.
+func (s *State) accept(in *api.Intent) {
+	s.applyPlan(in)
+	s.transit(in, api.IntentConfirmed)
+	in.Outcome.AcceptedIndex = s.index
+	s.bump(in.ID)
+	for _, other := range s.intents.planned() {
+		other.Outcome.SupersededBy = in.ID
+		s.transit(other, api.IntentSuperseded)
+	}
+}
+
+func (s *State) applyPlan(in *api.Intent) {
+	p := in.Plan
+	mark := func(leaving bool) *pb.QuietRecord {
+		q := &pb.QuietRecord{Intent: in.ID, Leaving: leaving}
+		if !p.ReturnAt.IsZero() {
+			q.UntilUnixMs = p.ReturnAt.UnixMilli()
+		}
+		return q
+	}
+	for _, dc := range p.QuietDCs {
+		s.put(&pb.Record{Key: prefixQuietDC + string(dc), Value: &pb.Record_QuietDc{QuietDc: mark(false)}})
+	}
+	for _, t := range p.QuietTargets {
+		s.put(&pb.Record{Key: prefixQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(false)}})
+	}
+	for _, t := range p.Leaving {
+		s.put(&pb.Record{Key: prefixQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(true)}})
+	}
+	for _, dc := range p.ReturningDCs {
+		s.endQuiet(prefixQuietDC+string(dc), in.ID)
+	}
+	for _, t := range p.Returning {
+		s.endQuiet(prefixQuietTarget+string(t), in.ID)
+	}
+	for _, k := range p.NonIdempotent {
+		s.put(&pb.Record{Key: prefixNonIdempotent + string(k), Value: &pb.Record_NonIdempotent{
+			NonIdempotent: &pb.NonIdempotentRecord{Intent: in.ID},
+		}})
+	}
+	for _, k := range p.Idempotent {
+		s.remove(prefixNonIdempotent + string(k))
+	}
+	if d := in.Spec.Deployment; d != nil {
+		in.Outcome.ConfigVersion = s.deploy(d)
+	}
+}
+
+// endQuiet removes a quiet record. An intent that keeps nothing quiet any more
+// notes when it ended and by what.
+func (s *State) endQuiet(key, by string) {
+	rec, ok := s.records.records[key]
+	if !ok || rec.GetDeleted() {
+		return
+	}
+	id := rec.GetQuietDc().GetIntent() + rec.GetQuietTarget().GetIntent()
+	s.remove(key)
+	in, ok := s.intents.byID[id]
+	if !ok || s.holdsQuiet(id) {
+		return
+	}
+	in.Outcome.ReturnedAt = s.now()
+	if by != "" {
+		in.Outcome.SupersededBy = by
+		s.transit(in, api.IntentSuperseded)
+	}
+}
+
+// holdsQuiet reports whether a record names the intent.
+func (s *State) holdsQuiet(id string) bool {
+	for _, rec := range s.records.records {
+		if rec.GetDeleted() {
+			continue
+		}
+		if rec.GetQuietDc().GetIntent() == id || rec.GetQuietTarget().GetIntent() == id {
+			return true
+		}
+	}
+	return false
+}
+
+// deploy puts a deployment in force and removes what it no longer has.
+func (s *State) deploy(d *topology.Deployment) uint64 {
+	data, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	version := s.view.ConfigVersion + 1
+	s.put(&pb.Record{Key: prefixDeployment, Value: &pb.Record_Deployment{
+		Deployment: &pb.DeploymentRecord{Version: version, Json: data},
+	}})
+	x := topology.NewIndex(d)
+	for _, rec := range s.records.live() {
+		if !s.known(x, rec.GetKey()) {
+			s.remove(rec.GetKey())
+		}
+	}
+	return version
+}
+
+// withdraw ends an intent that isn't confirmed.
+func (s *State) withdraw(c *Withdraw) *Result {
+	in, ok := s.intents.find(c.Intent)
+	if !ok {
+		return &Result{Refusal: refuse(api.CodeNotFound, "there is no intent "+c.Intent)}
+	}
+	if in.State != api.IntentPlanned {
+		return s.result(in, refuse(api.CodeNotConfirmable, "the intent is "+string(in.State)))
+	}
+	s.transit(in, api.IntentWithdrawn)
+	return s.result(in, nil)
+}
+
+// expirePlans ends the plans that are too old.
+func (s *State) expirePlans() {
+	for _, in := range s.intents.planned() {
+		if s.overdue(in) {
+			s.transit(in, api.IntentExpired)
+		}
+	}
+}
+
+// returnDue ends the quiet records whose return time has come.
+func (s *State) returnDue() {
+	due := DueReturns(s.view, s.now())
+	for _, key := range due {
+		rec := s.records.records[key]
+		winner := rec.GetQuietDc().GetIntent() + rec.GetQuietTarget().GetIntent()
+		s.endQuiet(key, "")
+		s.bump(winner)
+	}
+}
+
+// progress records how far a confirmed intent has come. It never goes back.
+func (s *State) progress(p *Progress) {
+	in, ok := s.intents.byID[p.Intent]
+	if !ok || (in.State != api.IntentConfirmed && in.State != api.IntentInForce) {
+		return
+	}
+	in.Outcome.InForce = p.InForce
+	in.Outcome.Pending = p.Pending
+	switch {
+	case p.Settled:
+		s.transit(in, api.IntentSettled)
+	case in.State == api.IntentConfirmed:
+		s.transit(in, api.IntentInForce)
+	}
+}
+
+// PlanExpires returns when the oldest plan that waits for a confirmation
+// expires. It reports false if there is none.
+func (s *State) PlanExpires() (time.Time, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	planned := s.intents.planned()
+	if len(planned) == 0 {
+		return time.Time{}, false
+	}
+	h := planned[0].History
+	return h[len(h)-1].At.Add(s.limits.PlanLifetime), true
+}
+
+// Unsettled returns the confirmed intents that aren't settled, oldest first.
+func (s *State) Unsettled() []api.Intent {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []api.Intent
+	for _, in := range s.intents.ordered {
+		if in.State == api.IntentConfirmed || in.State == api.IntentInForce {
+			out = append(out, copyIntent(in))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/control/state/routers.go
@@ -0,0 +1,93 @@
+package state
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// routerUp records a router unless its record says the same already.
+func (s *State) routerUp(r *Router) {
+	if _, err := netip.ParseAddrPort(r.RPCAddr); err != nil {
+		return
+	}
+	if _, err := netip.ParseAddrPort(r.HTTPAddr); err != nil {
+		return
+	}
+	old, ok := s.view.Routers[r.VM]
+	if ok && old.Incarnation == r.Incarnation && old.Leaving && !r.Leaving {
+		// A late report doesn't bring a leaving process back.
+		return
+	}
+	s.put(&pb.Record{Key: prefixRouter + string(r.VM), Value: &pb.Record_Router{Router: &pb.RouterRecord{
+		DataCentre:  string(r.DataCentre),
+		RpcAddr:     r.RPCAddr,
+		HttpAddr:    r.HTTPAddr,
+		Incarnation: r.Incarnation,
+		Leaving:     r.Leaving,
+	}}})
+}
+
+// routerLost removes a router's record unless another process took its place.
+func (s *State) routerLost(l *Lost) {
+	old, ok := s.view.Routers[l.VM]
+	if ok && old.Incarnation == l.Incarnation {
+		s.remove(prefixRouter + string(l.VM))
+	}
+}
+
+// assign gives targets to routers. A move to the present owner changes nothing.
+func (s *State) assign(moves []Assign) {
+	for _, m := range moves {
+		if s.view.Topology == nil || s.view.Topology.Target(m.Target) == nil {
+			continue
+		}
+		old := s.view.Assignments[m.Target]
+		if old.Owner == m.Owner {
+			continue
+		}
+		s.put(&pb.Record{Key: prefixAssignment + string(m.Target), Value: &pb.Record_Assignment{
+			Assignment: &pb.AssignmentRecord{Owner: string(m.Owner), Previous: string(old.Owner)},
+		}})
+	}
+}
+
+// known reports whether a record's subject is part of the deployment.
+func (s *State) known(x *topology.Index, key string) bool {
+	prefix, name, _ := strings.Cut(key, "/")
+	switch prefix + "/" {
+	case prefixQuietDC:
+		return slices.Contains(x.Deployment.DataCentres, topology.DataCentre(name))
+	case prefixQuietTarget, prefixAssignment:
+		return x.Target(topology.TargetID(name)) != nil
+	case prefixNonIdempotent:
+		return x.Kind(topology.KindName(name)) != nil
+	default:
+		return true
+	}
+}
+
+// DueReturns lists the keys of the quiet records whose return time has come.
+func DueReturns(v *board.View, now time.Time) []string {
+	var out []string
+	due := func(q board.Quiet) bool {
+		return !q.Leaving && !q.Until.IsZero() && !q.Until.After(now)
+	}
+	for dc, q := range v.QuietDCs {
+		if due(q) {
+			out = append(out, prefixQuietDC+string(dc))
+		}
+	}
+	for t, q := range v.QuietTargets {
+		if due(q) {
+			out = append(out, prefixQuietTarget+string(t))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
