--- a/control/service/claims.go
+++ b/control/service/claims.go
@@ -154,7 +154,7 @@
 		BodyHash:    q.GetBodyHash(),
 		VM:          q.GetVm(),
 		Incarnation: q.GetIncarnation(),
-		Attempt:     q.GetAttempt(),
+		Token:       q.GetToken(),
 		Settle:      q.GetSettle(),
 		Release:     q.GetRelease(),
 		Outcome:     q.GetOutcome(),
--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -12,7 +12,7 @@
 	BodyHash    uint64 `json:"h"`
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"inc"`
-	Attempt     uint64 `json:"a,omitempty"`
+	Token       uint64 `json:"a,omitempty"`
 	AtUnixMS    int64  `json:"at"`
 	Settled     bool   `json:"s,omitempty"`
 	// Outcome is dropped when the outcomes take too much room.
@@ -23,7 +23,7 @@
 }
 
 func (c *claim) heldBy(q *Claim) bool {
-	return c.VM == q.VM && c.Incarnation == q.Incarnation && c.Attempt == q.Attempt
+	return c.VM == q.VM && c.Incarnation == q.Incarnation && c.Token == q.Token
 }
 
 // claimStore keeps the claims in the order in which they were made.
@@ -61,7 +61,7 @@
 		return reply(pb.ClaimStatus_CLAIM_STATUS_CONFLICT)
 	case c.Settled && !c.Dropped:
 		return &pb.ClaimReply{Status: pb.ClaimStatus_CLAIM_STATUS_SETTLED, Outcome: c.Outcome}
-	case !c.Settled && c.heldBy(q) && q.Attempt != 0:
+	case !c.Settled && c.heldBy(q) && q.Token != 0:
 		return reply(pb.ClaimStatus_CLAIM_STATUS_GRANTED)
 	default:
 		return reply(pb.ClaimStatus_CLAIM_STATUS_HELD)
@@ -76,7 +76,7 @@
 	}
 	c := &claim{
 		Key: q.Key, BodyHash: q.BodyHash, VM: q.VM,
-		Incarnation: q.Incarnation, Attempt: q.Attempt, AtUnixMS: nowMS,
+		Incarnation: q.Incarnation, Token: q.Token, AtUnixMS: nowMS,
 	}
 	s.byKey[q.Key] = c
 	s.ordered = append(s.ordered, c)
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -84,7 +84,7 @@
 	BodyHash    uint64 `json:"h"`
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"inc"`
-	Attempt     uint64 `json:"a,omitempty"`
+	Token       uint64 `json:"a,omitempty"`
 	Settle      bool   `json:"s,omitempty"`
 	Release     bool   `json:"r,omitempty"`
 	Outcome     []byte `json:"o,omitempty"`
--- a/control/state/intents.go
+++ b/control/state/intents.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/control/plan"
+	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
@@ -195,27 +196,27 @@
 		return q
 	}
 	for _, dc := range p.QuietDCs {
-		s.put(&pb.Record{Key: prefixQuietDC + string(dc), Value: &pb.Record_QuietDc{QuietDc: mark(false)}})
+		s.put(&pb.Record{Key: rpc.KeyQuietDC + string(dc), Value: &pb.Record_QuietDc{QuietDc: mark(false)}})
 	}
 	for _, t := range p.QuietTargets {
-		s.put(&pb.Record{Key: prefixQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(false)}})
+		s.put(&pb.Record{Key: rpc.KeyQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(false)}})
 	}
 	for _, t := range p.Leaving {
-		s.put(&pb.Record{Key: prefixQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(true)}})
+		s.put(&pb.Record{Key: rpc.KeyQuietTarget + string(t), Value: &pb.Record_QuietTarget{QuietTarget: mark(true)}})
 	}
 	for _, dc := range p.ReturningDCs {
-		s.endQuiet(prefixQuietDC+string(dc), in.ID)
+		s.endQuiet(rpc.KeyQuietDC+string(dc), in.ID)
 	}
 	for _, t := range p.Returning {
-		s.endQuiet(prefixQuietTarget+string(t), in.ID)
+		s.endQuiet(rpc.KeyQuietTarget+string(t), in.ID)
 	}
 	for _, k := range p.NonIdempotent {
-		s.put(&pb.Record{Key: prefixNonIdempotent + string(k), Value: &pb.Record_NonIdempotent{
+		s.put(&pb.Record{Key: rpc.KeyNonIdempotent + string(k), Value: &pb.Record_NonIdempotent{
 			NonIdempotent: &pb.NonIdempotentRecord{Intent: in.ID},
 		}})
 	}
 	for _, k := range p.Idempotent {
-		s.remove(prefixNonIdempotent + string(k))
+		s.remove(rpc.KeyNonIdempotent + string(k))
 	}
 	if d := in.Spec.Deployment; d != nil {
 		in.Outcome.ConfigVersion = s.deploy(d)
@@ -262,7 +263,7 @@
 		panic(err)
 	}
 	version := s.view.ConfigVersion + 1
-	s.put(&pb.Record{Key: prefixDeployment, Value: &pb.Record_Deployment{
+	s.put(&pb.Record{Key: rpc.KeyDeployment, Value: &pb.Record_Deployment{
 		Deployment: &pb.DeploymentRecord{Version: version, Json: data},
 	}})
 	x := topology.NewIndex(d)
--- a/control/state/routers.go
+++ b/control/state/routers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
@@ -24,7 +25,7 @@
 		// A late report doesn't bring a leaving process back.
 		return
 	}
-	s.put(&pb.Record{Key: prefixRouter + string(r.VM), Value: &pb.Record_Router{Router: &pb.RouterRecord{
+	s.put(&pb.Record{Key: rpc.KeyRouter + string(r.VM), Value: &pb.Record_Router{Router: &pb.RouterRecord{
 		DataCentre:  string(r.DataCentre),
 		RpcAddr:     r.RPCAddr,
 		HttpAddr:    r.HTTPAddr,
@@ -37,7 +38,7 @@
 func (s *State) routerLost(l *Lost) {
 	old, ok := s.view.Routers[l.VM]
 	if ok && old.Incarnation == l.Incarnation {
-		s.remove(prefixRouter + string(l.VM))
+		s.remove(rpc.KeyRouter + string(l.VM))
 	}
 }
 
@@ -51,7 +52,7 @@
 		if old.Owner == m.Owner {
 			continue
 		}
-		s.put(&pb.Record{Key: prefixAssignment + string(m.Target), Value: &pb.Record_Assignment{
+		s.put(&pb.Record{Key: rpc.KeyAssignment + string(m.Target), Value: &pb.Record_Assignment{
 			Assignment: &pb.AssignmentRecord{Owner: string(m.Owner), Previous: string(old.Owner)},
 		}})
 	}
@@ -61,11 +62,11 @@
 func (s *State) known(x *topology.Index, key string) bool {
 	prefix, name, _ := strings.Cut(key, "/")
 	switch prefix + "/" {
-	case prefixQuietDC:
+	case rpc.KeyQuietDC:
 		return slices.Contains(x.Deployment.DataCentres, topology.DataCentre(name))
-	case prefixQuietTarget, prefixAssignment:
+	case rpc.KeyQuietTarget, rpc.KeyAssignment:
 		return x.Target(topology.TargetID(name)) != nil
-	case prefixNonIdempotent:
+	case rpc.KeyNonIdempotent:
 		return x.Kind(topology.KindName(name)) != nil
 	default:
 		return true
@@ -80,12 +81,12 @@
 	}
 	for dc, q := range v.QuietDCs {
 		if due(q) {
-			out = append(out, prefixQuietDC+string(dc))
+			out = append(out, rpc.KeyQuietDC+string(dc))
 		}
 	}
 	for t, q := range v.QuietTargets {
 		if due(q) {
-			out = append(out, prefixQuietTarget+string(t))
+			out = append(out, rpc.KeyQuietTarget+string(t))
 		}
 	}
 	slices.Sort(out)
--- a/control/state/view.go
+++ b/control/state/view.go
@@ -8,21 +8,11 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
-// Record keys are a prefix that tells the type, then the record's name. There
-// is one deployment record, with no name.
-const (
-	prefixDeployment    = "deployment/"
-	prefixQuietDC       = "quiet-dc/"
-	prefixQuietTarget   = "quiet-target/"
-	prefixRouter        = "router/"
-	prefixAssignment    = "assignment/"
-	prefixNonIdempotent = "non-idempotent/"
-)
-
 func emptyView() *board.View {
 	return &board.View{
 		QuietDCs:      map[topology.DataCentre]board.Quiet{},
@@ -71,22 +61,22 @@
 	prefix, name, _ := strings.Cut(rec.GetKey(), "/")
 	v, gone := e.view, rec.GetDeleted()
 	switch prefix + "/" {
-	case prefixDeployment:
+	case rpc.KeyDeployment:
 		return e.deployment(rec.GetDeployment())
-	case prefixQuietDC:
+	case rpc.KeyQuietDC:
 		put(edit(&e.dcs, &v.QuietDCs), topology.DataCentre(name), gone, quiet(rec.GetQuietDc()))
-	case prefixQuietTarget:
+	case rpc.KeyQuietTarget:
 		put(edit(&e.targets, &v.QuietTargets), topology.TargetID(name), gone, quiet(rec.GetQuietTarget()))
-	case prefixRouter:
+	case rpc.KeyRouter:
 		put(edit(&e.routers, &v.Routers), topology.VMName(name), gone, router(topology.VMName(name), rec))
-	case prefixAssignment:
+	case rpc.KeyAssignment:
 		a := rec.GetAssignment()
 		put(edit(&e.assignments, &v.Assignments), topology.TargetID(name), gone, board.Assignment{
 			Owner:    topology.VMName(a.GetOwner()),
 			Previous: topology.VMName(a.GetPrevious()),
 			Epoch:    rec.GetVersion(),
 		})
-	case prefixNonIdempotent:
+	case rpc.KeyNonIdempotent:
 		put(edit(&e.kinds, &v.NonIdempotent), topology.KindName(name), gone, true)
 	}
 	return nil
