--- a/cmd/peridotmux/main.go
+++ b/cmd/peridotmux/main.go
@@ -18,6 +18,9 @@
 	app.Terminate(func(int) { os.Exit(exitUsage) })
 	commands := commandSet{}
 	registerSettings(app, commands)
+	registerIntents(app, commands)
+	registerStatus(app, commands)
+	registerMembers(app, commands)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
 		app.FatalUsage("%s", err)
--- /dev/null
+++ b/cmd/peridotmux/status.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotmux/peridotmux/api"
+)
+
+func registerStatus(app *kingpin.Application, commands commandSet) {
+	cmd := app.Command("status", "Show the state of the system.")
+	f := addControlFlags(cmd)
+	commands[cmd.FullCommand()] = func() error {
+		client, ctx, cancel := f.client()
+		defer cancel()
+		s, err := client.Status(ctx)
+		if err != nil {
+			return f.refused(err)
+		}
+		return show(f, s, writeStatus)
+	}
+}
+
+func writeStatus(w *table, s *api.Status) {
+	if s.Stale {
+		w.printf("no leader is known; what follows may be outdated, and leases aren't known")
+	}
+	w.line("deployment", fmt.Sprintf("%s, configuration version %d", s.Deployment, s.ConfigVersion))
+	w.line("base version", fmt.Sprint(s.Base))
+	w.line("targets", fmt.Sprintf("%d, %d without a live owner", s.Targets, s.Unassigned))
+	w.line("leader", fmt.Sprintf("%s in term %d", s.Leader, s.Term))
+	w.line("non-idempotent", names(s.NonIdempotent))
+	for _, q := range s.QuietDCs {
+		w.line("quiet data centre", quietText(&q))
+	}
+	for _, q := range s.QuietTargets {
+		w.line("quiet target", quietText(&q))
+	}
+	w.printf("\nROUTER\tDATA CENTRE\tSTATE\tRECORDS\tLEASE\tSEEN\tOWNS\tMEMBER")
+	for _, r := range s.Routers {
+		w.printf("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s",
+			r.VM, r.DataCentre, routerState(&r), recordsText(&r), leaseText(&r), seenText(&r), r.Owns, r.Member)
+	}
+	writeMembers(w, &api.MemberList{Members: s.Members})
+}
+
+func quietText(q *api.QuietStatus) string {
+	text := q.Name + " by " + q.Intent
+	if q.Leaving {
+		text += ", leaves for good"
+	}
+	if !q.Until.IsZero() {
+		text += ", until " + moment(q.Until)
+	}
+	return text
+}
+
+func routerState(r *api.RouterStatus) string {
+	switch {
+	case r.Leaving:
+		return "leaving"
+	case r.LeaseMS == 0:
+		return "no lease"
+	default:
+		return "live"
+	}
+}
+
+func recordsText(r *api.RouterStatus) string {
+	if r.Current {
+		return "current"
+	}
+	return fmt.Sprintf("at %d", r.Applied)
+}
+
+func leaseText(r *api.RouterStatus) string { return fmt.Sprintf("%d ms", r.LeaseMS) }
+
+func seenText(r *api.RouterStatus) string {
+	if r.SeenMS < 0 {
+		return "not yet"
+	}
+	return fmt.Sprintf("%d ms ago", r.SeenMS)
+}
--- /dev/null
+++ b/control/adminclient/client.go
@@ -0,0 +1,203 @@
+// Package adminclient calls the administration API. It retries over all members
+// of control with the same command number, so that a command is done once even
+// when an answer is lost.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/peridotmux/peridotmux/api"
+)
+
+const (
+	// attemptTimeout bounds one request to one member.
+	attemptTimeout = 5 * time.Second
+	// dialTimeout bounds the time to connect to a member.
+	dialTimeout = time.Second
+	// pause is the time between two rounds over the members.
+	pause = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// UnreachableError says that no member gave an answer. A command may or may not
+// be done unless NotSent is true.
+type UnreachableError struct {
+	NotSent bool
+	Cause   error
+}
+
+// Error describes the failure.
+func (e *UnreachableError) Error() string {
+	if e.NotSent {
+		return "no member of control can be reached; nothing was done: " + e.Cause.Error()
+	}
+	return "no member of control answered; it may or may not be done, so send it again with the same --command: " +
+		e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// BadAnswerError says that a member's answer can't be read.
+type BadAnswerError struct {
+	Status int
+	Cause  error
+}
+
+// Error describes the failure.
+func (e *BadAnswerError) Error() string {
+	return "status " + http.StatusText(e.Status) + " with an answer that can't be read: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *BadAnswerError) Unwrap() error { return e.Cause }
+
+// Client calls the administration API at any of its addresses.
+type Client struct {
+	addrs []string
+	http  *http.Client
+}
+
+// New returns a client for the members at addrs.
+func New(addrs []string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{addrs: addrs, http: &http.Client{
+		Timeout:   attemptTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext},
+	}}
+}
+
+// NewCommand returns a command number made at random.
+func NewCommand() string { return rand.Text() }
+
+// Submit states an intent.
+func (c *Client) Submit(ctx context.Context, s *api.Submission) (*api.Intent, error) {
+	return call[api.Intent](ctx, c, http.MethodPost, api.PathIntents, s)
+}
+
+// Confirm confirms a plan.
+func (c *Client) Confirm(ctx context.Context, plan string, q *api.Confirmation) (*api.Intent, error) {
+	return call[api.Intent](ctx, c, http.MethodPost, strings.Replace(api.PathConfirm, "{plan}", plan, 1), q)
+}
+
+// Withdraw withdraws an intent that isn't confirmed.
+func (c *Client) Withdraw(ctx context.Context, id string, q *api.Withdrawal) (*api.Intent, error) {
+	return call[api.Intent](ctx, c, http.MethodPost, strings.Replace(api.PathWithdraw, "{id}", id, 1), q)
+}
+
+// Intents lists the intents, newest first.
+func (c *Client) Intents(ctx context.Context) (*api.IntentList, error) {
+	return call[api.IntentList](ctx, c, http.MethodGet, api.PathIntents, nil)
+}
+
+// Intent returns one intent by its id or its plan's id.
+func (c *Client) Intent(ctx context.Context, id string) (*api.Intent, error) {
+	return call[api.Intent](ctx, c, http.MethodGet, strings.Replace(api.PathIntent, "{id}", id, 1), nil)
+}
+
+// Status returns the state of the system.
+func (c *Client) Status(ctx context.Context) (*api.Status, error) {
+	return call[api.Status](ctx, c, http.MethodGet, api.PathStatus, nil)
+}
+
+// Members lists the members of control.
+func (c *Client) Members(ctx context.Context) (*api.MemberList, error) {
+	return call[api.MemberList](ctx, c, http.MethodGet, api.PathMembers, nil)
+}
+
+// ChangeMember makes one change of membership.
+func (c *Client) ChangeMember(ctx context.Context, q *api.MemberChange) (*api.MemberList, error) {
+	return call[api.MemberList](ctx, c, http.MethodPost, api.PathMembers, q)
+}
+
+// call asks the members in turn until one gives a final answer or ctx ends.
+func call[T any](ctx context.Context, c *Client, method, path string, body any) (*T, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	notSent := true
+	var last error
+	for {
+		for _, addr := range c.addrs {
+			answer, err := attempt[T](ctx, c, method, addr+path, data)
+			if err == nil || final(err) {
+				return answer, err
+			}
+			notSent = notSent && unsent(err)
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &UnreachableError{NotSent: notSent, Cause: last}
+		case <-time.After(pause):
+		}
+	}
+}
+
+func attempt[T any](ctx context.Context, c *Client, method, url string, data []byte) (*T, error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Content-Type", "application/json")
+	r, err := c.http.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, readRefusal(r.StatusCode, body)
+	}
+	out := new(T)
+	if err := json.Unmarshal(body, out); err != nil {
+		return nil, &BadAnswerError{Status: r.StatusCode, Cause: err}
+	}
+	return out, nil
+}
+
+func readRefusal(status int, body []byte) error {
+	f := &api.Refusal{Status: status}
+	if err := json.Unmarshal(body, f); err != nil {
+		return &BadAnswerError{Status: status, Cause: err}
+	}
+	return f
+}
+
+// final reports whether asking another member can't help.
+func final(err error) bool {
+	var f *api.Refusal
+	if !errors.As(err, &f) {
+		return false
+	}
+	switch f.Code {
+	case api.CodeNotLeader, api.CodeControlAway, api.CodeUnknownOutcome, api.CodeOverloaded:
+		return false
+	default:
+		return true
+	}
+}
+
+// unsent reports whether the command was certainly not taken in.
+func unsent(err error) bool {
+	var f *api.Refusal
+	if errors.As(err, &f) {
+		return f.Execution == api.NotRun
+	}
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
