Hold cold limits over unseen restarts, test limits, fences, claims

Cause: the thin path had no tests of its promises, and a target that restarts while idle got as many searches at once as the old process was proved to carry.

Change: target.Search.ClosedIdle asks the owner before a search goes out on a new connection while the target has closed one since its last answer; the owner sets the target's limit back to the cold limit until an answer names the process. The ramp grows in proportion to the work done. Answers are written with raw copies of the shards' bodies. Admission steers the admitted rate by level and slope of the owners' queues.

Found by the new tests and mended: a panic in a question for index versions ended the process; a target's record was replaced while searches read it.

Proved: go test -race ./owner ./query ./entry ./target.

--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -16,6 +16,7 @@
 	status pb.ClaimStatus
 	// failSettle makes each settling fail.
 	failSettle bool
+	lastHash   uint64
 }
 
 type claimEntry struct {
@@ -26,6 +27,7 @@
 func (b *claimBook) Claim(_ context.Context, key string, hash uint64) (entry.Claim, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.lastHash = hash
 	if b.status != 0 {
 		return entry.Claim{Status: b.status}, nil
 	}
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -66,6 +66,12 @@
 }
 
 func (s *Server) learnOne(ctx context.Context, req *request, shard topology.ShardID, owner topology.VMName) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.counters.Panics.Add(1)
+			s.cfg.Log.Error("question for versions failed by a panic", "request", req.id, "cause", cause)
+		}
+	}()
 	q := &pb.SubRequest{
 		Shard:     string(shard),
 		Kind:      string(req.kind.Name),
--- a/entry/scatter.go
+++ b/entry/scatter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -198,9 +199,11 @@
 		BudgetUs:     uint64(budget.Microseconds()),
 		Body:         sc.req.body,
 		Once:         sc.req.once,
-		Exclude:      a.Exclude,
 		Hedge:        a.Hedge,
 	}
+	if a.Avoid != "" {
+		q.Exclude = []string{a.Avoid}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	sc.cancels[keyOf(a)] = cancel
 	sc.sentAt[keyOf(a)] = now
@@ -246,7 +249,7 @@
 	return true
 }
 
-// own returns the reply if it belongs to the sub-request, else one that says
+// own returns the reply if it belongs to the sub-request and is JSON, else one that says
 // that no usable answer came.
 func (s *Server) own(q *pb.SubRequest, reply *pb.SubReply) *pb.SubReply {
 	if reply.GetStatus() != pb.SubStatus_SUB_STATUS_OK {
@@ -254,7 +257,8 @@
 	}
 	top := s.cfg.Board.View().Topology
 	t := top.Target(topology.TargetID(reply.GetTarget()))
-	if t != nil && string(t.Shard) == q.GetShard() && reply.GetIndexVersion() == q.GetIndexVersion() {
+	if t != nil && string(t.Shard) == q.GetShard() && reply.GetIndexVersion() == q.GetIndexVersion() &&
+		json.Valid(reply.GetBody()) {
 		return reply
 	}
 	s.counters.Dropped.Add(1)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -24,8 +23,7 @@
 		return
 	}
 	s.counters.Answers.Add(1)
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	writeAnswer(w, answer)
 }
 
 // guarded runs handle and turns a panic into a refusal.
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -17,7 +17,7 @@
 	var chosen, last, probe *replica
 	healthy := false
 	for _, r := range s.replicas {
-		if !s.eligible(r, j) {
+		if !s.eligible(r, j, now) {
 			continue
 		}
 		bad := s.judge(r, best, now)
@@ -44,12 +44,12 @@
 	return last
 }
 
-func (s *shard) eligible(r *replica, j *job) bool {
+func (s *shard) eligible(r *replica, j *job, now time.Time) bool {
 	q := j.request
 	if q.GetHedge() && r.runs(q.GetRequestId()) {
 		return false
 	}
-	return r.usable() && r.serves(q.GetIndexVersion()) && !j.excludes(r.id())
+	return r.usable() && r.serves(q.GetIndexVersion(), now) && !j.excludes(r.id())
 }
 
 // judge reports whether r stands out, and starts or ends its ejection.
--- a/owner/healthcheck.go
+++ b/owner/healthcheck.go
@@ -59,12 +59,13 @@
 }
 
 // reported takes in a health page. Pages lag and mislead, so a page may only
-// make the owner more careful, and teach versions while none are known.
+// make the owner more careful, and teach newer versions, which cost nothing to
+// ask for in vain.
 func (h *holding) reported(page target.Health) {
 	h.shard.mu.Lock()
 	defer h.shard.mu.Unlock()
 	r := h.replica
-	if len(r.versions) == 0 {
+	if len(page.Versions) > 0 && (len(r.versions) == 0 || page.Versions[0] > r.versions[0]) {
 		r.versions = page.Versions
 	}
 	if page.Draining && page.Process != 0 && page.Process == r.ramp.Process {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -111,7 +111,9 @@
 		if out.Status != target.NotStarted || out.Reason == target.ReasonCancelled {
 			return reply
 		}
-		j.exclude = append(j.exclude, got.replica.id())
+		if out.Reason != target.ReasonConnectionLost {
+			j.exclude = append(j.exclude, got.replica.id())
+		}
 		now = time.Now()
 	}
 	return reply
@@ -143,12 +145,13 @@
 		IndexVersion: j.request.GetIndexVersion(),
 		Deadline:     deadline,
 		Body:         j.request.GetBody(),
+		ClosedIdle:   func() bool { return s.closedIdle(got.replica, got.run) },
 	}
 	if reason := o.mayStart(got.replica.target, deadline); reason != 0 {
 		s.undo(got.replica, got.run)
 		return target.Outcome{}, reason
 	}
-	out := o.cfg.Searcher.Search(ctx, search)
+	out := o.send(ctx, search)
 	now := time.Now()
 	change := s.release(got.replica, got.run, out, now)
 	if !out.Ended {
@@ -158,6 +161,17 @@
 	return out, 0
 }
 
+// send runs a search. Should that panic, a target may have started it.
+func (o *Owner) send(ctx context.Context, search target.Search) (out target.Outcome) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			o.cfg.Log.Error("search failed by a panic", "target", search.Target.ID, "cause", cause)
+			out = target.Outcome{Status: target.Unknown, Reason: target.ReasonTargetError}
+		}
+	}()
+	return o.cfg.Searcher.Search(ctx, search)
+}
+
 // mayStart decides, from the newest view and the lease, whether a search may
 // be sent to t right now.
 func (o *Owner) mayStart(t *topology.Target, deadline time.Time) pb.SubReason {
--- a/owner/ownership.go
+++ b/owner/ownership.go
@@ -77,16 +77,18 @@
 // takeUp makes sure that a target assigned to this router is held.
 func (o *Owner) takeUp(v *board.View, t *topology.Target, a board.Assignment, now time.Time) {
 	h := o.held[t.ID]
-	if h != nil && h.replica.epoch == a.Epoch && h.replica.target.Addr == t.Addr {
+	if h != nil && *h.replica.target == *t {
+		if h.replica.epoch != a.Epoch {
+			o.resume(h, a, now)
+		}
 		return
 	}
-	s := o.shardFor(v, t)
-	r := &replica{target: t, epoch: a.Epoch}
-	r.ramp = NewRamp(Limits{Slots: s.group.Slots, ColdLimit: s.group.ColdLimit, WarmAfter: s.group.WarmAfter})
-	r.fenceEnd = now.Add(lease.Duration)
-	if h != nil && o.resume(h, r, now) {
-		return
+	if h != nil {
+		h.close()
 	}
+	s := o.shardFor(v, t)
+	r := &replica{target: t, epoch: a.Epoch, fenceEnd: now.Add(lease.Duration)}
+	r.ramp = NewRamp(limitsOf(s.group))
 	if fresh(v, o.cfg.VM, a) {
 		r.state, r.safe = stateActive, true
 	}
@@ -94,7 +96,15 @@
 	s.mu.Lock()
 	s.replicas = append(s.replicas, r)
 	s.mu.Unlock()
-	o.cfg.Log.Info("target taken up", "target", t.ID, "epoch", a.Epoch, "previous", a.Previous,
+	o.logTakeUp(r, a)
+}
+
+func limitsOf(g *topology.Group) Limits {
+	return Limits{Slots: g.Slots, ColdLimit: g.ColdLimit, WarmAfter: g.WarmAfter}
+}
+
+func (o *Owner) logTakeUp(r *replica, a board.Assignment) {
+	o.cfg.Log.Info("target taken up", "target", r.id(), "epoch", a.Epoch, "previous", a.Previous,
 		"fenced", r.state == stateFenced)
 }
 
@@ -104,21 +114,29 @@
 	return a.Previous == "" && a.Epoch >= v.Routers[vm].Version
 }
 
-// resume handles a target that this process already knows. It reports whether
-// the old replica goes on under the new epoch; if not, it is closed.
-func (o *Owner) resume(h *holding, next *replica, _ time.Time) bool {
+// resume goes on with a target that this process already knows: owned all
+// along, or given up before and now assigned again.
+func (o *Owner) resume(h *holding, a board.Assignment, now time.Time) {
+	s, r := h.shard, h.replica
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	again := r.state == stateClosed
+	r.epoch = a.Epoch
+	if !again {
+		return
+	}
+	h.previous = a.Previous
+	r.state, r.safe, r.fenceEnd = stateFenced, false, now.Add(lease.Duration)
+	s.replicas = append(s.replicas, r)
+	o.logTakeUp(r, a)
+}
+
+// close stops all new work at a target.
+func (h *holding) close() {
 	h.shard.mu.Lock()
 	defer h.shard.mu.Unlock()
-	r := h.replica
-	if r.target.Addr == next.target.Addr && r.state != stateClosed {
-		// Owned all along: only the epoch has moved.
-		r.epoch = next.epoch
-		r.target = next.target
-		return true
-	}
-	r.state = stateClosed
-	h.shard.drop(r)
-	return false
+	h.replica.state = stateClosed
+	h.shard.drop(h.replica)
 }
 
 func (s *shard) drop(r *replica) {
@@ -139,8 +157,12 @@
 	if !mine && r.state != stateClosed {
 		r.state = stateClosed
 		s.drop(r)
+		o.cfg.Searcher.Release(r.id())
 		o.cfg.Log.Info("target given up", "target", r.id(), "epoch", r.epoch, "in_flight", len(r.running))
 	}
+	if g := v.Topology.Group(r.target.Group); mine && g != nil {
+		r.ramp = r.ramp.within(limitsOf(g))
+	}
 	quiet := v.IsQuiet(r.target)
 	if r.quiet && !quiet {
 		// What happened meanwhile is unknown; it may come back cold.
@@ -187,10 +209,10 @@
 func (o *Owner) open(h *holding, over *pb.ReleasedTarget) {
 	r := h.replica
 	r.state, r.safe = stateActive, true
+	r.ramp = NewRamp(r.ramp.Limits)
 	if over != nil {
 		r.ramp = r.ramp.Step(HandedOver{
 			Process: over.GetProcess(),
-			Limit:   int(over.GetLimit()),
 			Work:    time.Duration(over.GetWarmWorkUs()) * time.Microsecond,
 		})
 	}
--- a/owner/ramp.go
+++ b/owner/ramp.go
@@ -5,7 +5,7 @@
 const (
 	// warmMargin multiplies the work that proves a target warm, because the
 	// owner's measure of work includes the time on the network.
-	warmMargin = 1.25
+	warmMargin = 1.5
 	// bandFactor is how far the recent latency may rise over the usual one.
 	bandFactor = 3.0
 	// recentShare and usualShare weigh a new sample in the two averages.
@@ -28,15 +28,11 @@
 	Limits Limits
 	// Process is the target's process number, 0 while none is known.
 	Process uint64
-	// Proved is the number of requests at once the target was proved to carry.
-	Proved int
 	// Work is the service time done since the last cold start.
 	Work time.Duration
 	// Suspect holds the limit down until a response shows the process number.
 	Suspect bool
-	// Answered counts answers at the full limit since the limit last grew.
-	Answered int
-	band     band
+	band    band
 }
 
 // RampEvent is something that bears on a target's ramp.
@@ -46,8 +42,6 @@
 type Served struct {
 	Process uint64
 	Service time.Duration
-	// InFlight is the number of searches at the target while this one ran.
-	InFlight int
 }
 
 // Shed says that the target had no room within its limit.
@@ -60,37 +54,43 @@
 // target may have restarted unseen.
 type ConnectionLost struct{}
 
-// ColdReported says that the target's health page calls it cold.
-type ColdReported struct{ Process uint64 }
-
 // HandedOver carries what a previous owner proved.
 type HandedOver struct {
 	Process uint64
-	Limit   int
 	Work    time.Duration
 }
 
 // NewRamp returns the ramp of a target of which nothing is known.
-func NewRamp(l Limits) Ramp {
+func NewRamp(l Limits) Ramp { return Ramp{}.within(l) }
+
+// within returns the state under other limits.
+func (r Ramp) within(l Limits) Ramp {
 	l.Slots = max(l.Slots, 1)
 	l.ColdLimit = min(max(l.ColdLimit, 1), l.Slots)
-	return Ramp{Limits: l, Proved: l.ColdLimit}
+	r.Limits = l
+	return r
 }
 
 // Step returns the state after e.
 func (r Ramp) Step(e RampEvent) Ramp { return e.apply(r) }
 
-// Limit returns the number of requests that the target may hold now.
+// Limit returns the number of requests that the target may hold now. It grows
+// from the cold limit to all slots in proportion to the work done.
 func (r Ramp) Limit() int {
-	if r.Suspect || !r.Warm() {
+	if r.Suspect {
 		return r.Limits.ColdLimit
 	}
-	return min(r.Proved, r.Limits.Slots)
+	grown := r.proved() * float64(r.Limits.Slots-r.Limits.ColdLimit)
+	return r.Limits.ColdLimit + int(grown)
 }
 
-// Warm reports whether the work done proves the target warm.
-func (r Ramp) Warm() bool {
-	return float64(r.Work) >= warmMargin*float64(r.Limits.WarmAfter)
+// proved returns the share, 0 to 1, of the work that proves a target warm.
+func (r Ramp) proved() float64 {
+	need := warmMargin * float64(r.Limits.WarmAfter)
+	if float64(r.Work) >= need {
+		return 1
+	}
+	return float64(r.Work) / need
 }
 
 // cold returns the state after a cold start of the given process.
@@ -132,19 +132,11 @@
 	return r
 }
 
-func (e ColdReported) apply(r Ramp) Ramp {
-	if e.Process != 0 && e.Process != r.Process {
-		return r.cold(e.Process)
-	}
-	return r
-}
-
 func (e HandedOver) apply(r Ramp) Ramp {
 	if e.Process == 0 {
 		return r
 	}
 	r.Process = e.Process
-	r.Proved = min(max(e.Limit, r.Limits.ColdLimit), r.Limits.Slots)
 	r.Work = max(e.Work, 0)
 	r.Suspect = true
 	return r
@@ -159,22 +151,7 @@
 	if r.band.out() {
 		return r.cold(r.Process)
 	}
-	if e.Service > 0 {
-		r.Work += e.Service
-	}
-	return r.grow(e.InFlight)
-}
-
-// grow raises the limit by one after as many answers at the full limit.
-func (r Ramp) grow(inFlight int) Ramp {
-	if !r.Warm() || r.Proved >= r.Limits.Slots || inFlight < r.Proved {
-		return r
-	}
-	r.Answered++
-	if r.Answered >= r.Proved {
-		r.Proved++
-		r.Answered = 0
-	}
+	r.Work += max(e.Service, 0)
 	return r
 }
 
--- /dev/null
+++ b/owner/ramp_test.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var limits = Limits{Slots: 3, ColdLimit: 1, WarmAfter: 5 * time.Second}
+
+// randomEvents returns a sequence of events in which the target restarts,
+// sheds and loses connections now and then.
+func randomEvents(seed uint64) []RampEvent {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	events := make([]RampEvent, 0, 600)
+	process := uint64(1)
+	for range 600 {
+		switch p := rng.Float64(); {
+		case p < 0.005:
+			process++
+		case p < 0.01:
+			events = append(events, Shed{Process: process})
+		case p < 0.015:
+			events = append(events, ConnectionLost{})
+		case p < 0.02:
+			events = append(events, ProcessSeen{Process: process})
+		default:
+			service := time.Duration(rng.Float64()*60) * time.Millisecond
+			events = append(events, Served{Process: process, Service: service})
+		}
+	}
+	return events
+}
+
+// naiveLimit recomputes the most that a sequence of events proves: it looks
+// back for the last sign of a cold start and adds up the work since then.
+func naiveLimit(events []RampEvent) int {
+	var work time.Duration
+	last := uint64(0)
+	for i := len(events) - 1; i >= 0; i-- {
+		served, ok := events[i].(Served)
+		if !ok {
+			if _, shed := events[i].(Shed); shed {
+				break
+			}
+			continue
+		}
+		if last != 0 && served.Process != last {
+			break
+		}
+		last = served.Process
+		work += served.Service
+	}
+	share := min(1, float64(work)/float64(limits.WarmAfter))
+	return limits.ColdLimit + int(share*float64(limits.Slots-limits.ColdLimit))
+}
+
+func TestRampNeverExceedsWhatWasProved(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("limit", prop.ForAll(func(seed uint64) bool {
+		r := NewRamp(limits)
+		events := randomEvents(seed)
+		for i, e := range events {
+			r = r.Step(e)
+			if r.Limit() < limits.ColdLimit || r.Limit() > naiveLimit(events[:i+1]) {
+				return false
+			}
+			if _, lost := e.(ConnectionLost); lost && r.Limit() != limits.ColdLimit {
+				return false
+			}
+		}
+		return true
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func serveFor(r Ramp, process uint64, service time.Duration, n int) Ramp {
+	for range n {
+		r = r.Step(Served{Process: process, Service: service})
+	}
+	return r
+}
+
+func TestRampSteps(t *testing.T) {
+	const service = 20 * time.Millisecond
+	warm := serveFor(NewRamp(limits), 1, service, 400)
+	cases := []struct {
+		name string
+		ramp Ramp
+		want int
+	}{
+		{"unknown", NewRamp(limits), 1},
+		{"half the work", serveFor(NewRamp(limits), 1, service, 200), 2},
+		{"warm", warm, 3},
+		{"a new process", warm.Step(Served{Process: 2, Service: service}), 1},
+		{"a health page names a new process", warm.Step(ProcessSeen{Process: 2}), 1},
+		{"shed", warm.Step(Shed{Process: 1}), 1},
+		{"connection lost", warm.Step(ConnectionLost{}), 1},
+		{"connection lost, same process", warm.Step(ConnectionLost{}).Step(Served{Process: 1, Service: service}), 3},
+		{"connection lost, new process", warm.Step(ConnectionLost{}).Step(Served{Process: 2, Service: service}), 1},
+		{"latency out of its band", serveFor(warm, 1, 10*service, 3), 1},
+		{"one slow answer", serveFor(warm, 1, 4*service, 1), 3},
+		{"handed over", NewRamp(limits).Step(HandedOver{Process: 1, Work: 8 * time.Second}), 1},
+		{
+			"handed over and seen",
+			NewRamp(limits).Step(HandedOver{Process: 1, Work: 8 * time.Second}).Step(Served{Process: 1, Service: service}), 3,
+		},
+		{
+			"handed over but restarted",
+			NewRamp(limits).Step(HandedOver{Process: 1, Work: 8 * time.Second}).Step(Served{Process: 2, Service: service}), 1,
+		},
+	}
+	for _, c := range cases {
+		if got := c.ramp.Limit(); got != c.want {
+			t.Errorf("%s: limit %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/owner/replica.go
+++ b/owner/replica.go
@@ -36,6 +36,8 @@
 	ramp     Ramp
 	outlier  outlier
 	versions []uint64
+	// versionsAt is when the target itself last told its versions.
+	versionsAt time.Time
 	// draining is the process number that said that it leaves, 0 if none.
 	draining uint64
 	running  []*running
@@ -45,8 +47,6 @@
 type running struct {
 	requestID string
 	started   time.Time
-	// most is the greatest number of searches at the target meanwhile.
-	most int
 }
 
 func (r *replica) id() topology.TargetID { return r.target.ID }
@@ -56,11 +56,19 @@
 	return r.state == stateActive && !r.quiet && r.draining == 0
 }
 
-// serves reports whether the replica serves index version v as far as known.
-func (r *replica) serves(v uint64) bool {
-	return len(r.versions) == 0 || slices.Contains(r.versions, v)
+// serves reports whether the replica serves index version v as far as known. A
+// version newer than all that are known may have arrived meanwhile; to ask
+// costs no start.
+func (r *replica) serves(v uint64, now time.Time) bool {
+	if len(r.versions) == 0 || slices.Contains(r.versions, v) {
+		return true
+	}
+	return v > r.versions[0] && now.Sub(r.versionsAt) > versionsFor
 }
 
+// versionsFor is how long a target that lacks a version isn't asked again.
+const versionsFor = 200 * time.Millisecond
+
 func (r *replica) free() int { return r.ramp.Limit() - len(r.running) }
 
 // runs reports whether an attempt of the request is at the target.
@@ -76,9 +84,6 @@
 func (r *replica) begin(requestID string, now time.Time) *running {
 	run := &running{requestID: requestID, started: now}
 	r.running = append(r.running, run)
-	for _, o := range r.running {
-		o.most = max(o.most, len(r.running))
-	}
 	return run
 }
 
@@ -92,17 +97,25 @@
 	return true
 }
 
+// admits reports whether run may still be sent after the target was found to
+// have closed an idle connection: it may have restarted and be cold.
+func (r *replica) admits(run *running) bool {
+	r.ramp = r.ramp.Step(ConnectionLost{})
+	i := slices.Index(r.running, run)
+	return i >= 0 && i < r.ramp.Limit()
+}
+
 // observe takes in what a search showed of the target.
-func (r *replica) observe(run *running, out target.Outcome, now time.Time) {
+func (r *replica) observe(out target.Outcome, now time.Time) {
 	if len(out.Versions) > 0 {
-		r.versions = out.Versions
+		r.versions, r.versionsAt = out.Versions, now
 	}
 	if out.Process != 0 && r.draining != 0 && out.Process != r.draining {
 		r.draining = 0
 	}
 	switch out.Reason {
 	case target.ReasonNone:
-		r.ramp = r.ramp.Step(Served{Process: out.Process, Service: out.Service, InFlight: run.most})
+		r.ramp = r.ramp.Step(Served{Process: out.Process, Service: out.Service})
 		r.outlier = r.outlier.answered(out.Service, now)
 	case target.ReasonShed:
 		r.ramp = r.ramp.Step(Shed{Process: out.Process})
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -76,7 +76,7 @@
 
 // tryLocked takes a free slot, refuses, or says that j must wait.
 func (s *shard) tryLocked(j *job, now time.Time) (slot, bool) {
-	if reason, gone := s.hopeless(j); reason != 0 || gone {
+	if reason, gone := s.hopeless(j, now); reason != 0 || gone {
 		return slot{refusal: reason, gone: gone}, true
 	}
 	if s.tooLate(j, now) {
@@ -115,14 +115,14 @@
 }
 
 // hopeless tells whether no owned target could ever run j.
-func (s *shard) hopeless(j *job) (pb.SubReason, bool) {
+func (s *shard) hopeless(j *job, now time.Time) (pb.SubReason, bool) {
 	usable, serving := 0, 0
 	for _, r := range s.replicas {
 		if !r.usable() || j.excludes(r.id()) {
 			continue
 		}
 		usable++
-		if r.serves(j.request.GetIndexVersion()) {
+		if r.serves(j.request.GetIndexVersion(), now) {
 			serving++
 		}
 	}
@@ -161,7 +161,7 @@
 	if out.Ended {
 		r.end(run)
 	}
-	r.observe(run, out, now)
+	r.observe(out, now)
 	if out.Status == target.OK {
 		s.service = average(s.service, out.Service)
 	}
@@ -181,6 +181,14 @@
 	}
 }
 
+// closedIdle asks whether run may still be sent although an idle connection
+// turned out closed.
+func (s *shard) closedIdle(r *replica, run *running) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.admits(run)
+}
+
 // undo frees the slot of a search that was never sent.
 func (s *shard) undo(r *replica, run *running) {
 	s.mu.Lock()
@@ -208,8 +216,8 @@
 		s.dropped++
 		j.grant <- slot{refusal: pb.SubReason_SUB_REASON_DEADLINE}
 	}
-	for _, j := range s.queue.removeIf(s.isHopeless) {
-		reason, gone := s.hopeless(j)
+	for _, j := range s.queue.removeIf(func(j *job) bool { return s.isHopeless(j, now) }) {
+		reason, gone := s.hopeless(j, now)
 		j.grant <- slot{refusal: reason, gone: gone}
 	}
 	for s.queue.length > 0 {
@@ -225,36 +233,11 @@
 	}
 }
 
-func (s *shard) isHopeless(j *job) bool {
-	reason, gone := s.hopeless(j)
+func (s *shard) isHopeless(j *job, now time.Time) bool {
+	reason, gone := s.hopeless(j, now)
 	return reason != 0 || gone
 }
 
 func (j *job) excludes(id topology.TargetID) bool {
 	return slices.Contains(j.exclude, id) || slices.Contains(j.request.GetExclude(), string(id))
 }
-
-// fill adds to a reply what the owner knows of the shard.
-func (s *shard) fill(reply *pb.SubReply) *pb.SubReply {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	reply.Queued = uint32(s.queue.length)
-	for _, r := range s.replicas {
-		if !r.usable() {
-			continue
-		}
-		reply.Slots += uint32(r.ramp.Limit())
-		for _, v := range r.versions {
-			if !slices.Contains(reply.Versions, v) {
-				reply.Versions = append(reply.Versions, v)
-			}
-		}
-	}
-	slices.SortFunc(reply.Versions, func(a, b uint64) int {
-		if a > b {
-			return -1
-		}
-		return 1
-	})
-	return reply
-}
--- a/owner/stream.go
+++ b/owner/stream.go
@@ -36,10 +36,26 @@
 	go func() {
 		defer x.cancel(q.GetId())
 		q.BudgetUs -= min(q.GetBudgetUs(), uint64(time.Since(received).Microseconds()))
-		reply(x.owner.Do(ctx, q))
+		reply(x.owner.guarded(ctx, q))
 	}()
 }
 
+// guarded runs one sub-request; a panic costs only this one.
+func (o *Owner) guarded(ctx context.Context, q *pb.SubRequest) (reply *pb.SubReply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			o.cfg.Log.Error("sub-request failed by a panic", "request", q.GetRequestId(), "cause", cause)
+			reply = &pb.SubReply{
+				Id:      q.GetId(),
+				Status:  pb.SubStatus_SUB_STATUS_UNKNOWN,
+				Reason:  pb.SubReason_SUB_REASON_TARGET_ERROR,
+				Started: 1,
+			}
+		}
+	}()
+	return o.Do(ctx, q)
+}
+
 func (x *exchange) cancel(id uint64) {
 	x.mu.Lock()
 	cancel := x.cancels[id]
--- a/query/admission.go
+++ b/query/admission.go
@@ -10,12 +10,16 @@
 const (
 	// admissionWindow is the time between steps of the admitted share.
 	admissionWindow = 100 * time.Millisecond
-	// admissionCut and admissionRaise change the admitted rate in a step.
-	admissionCut   = 0.85
-	admissionRaise = 1.05
-	// pressureHigh is the wait in owners' queues, as a share of the deadline,
-	// above which less is admitted.
-	pressureHigh = 0.25
+	// pressureTarget is the wait in owners' queues, as a share of the deadline,
+	// that the admitted rate is steered to.
+	pressureTarget = 0.2
+	// steerLevel and steerSlope weigh how far the pressure is from its target,
+	// and how fast it moves.
+	steerLevel = 0.5
+	steerSlope = 3.0
+	// steerDown and steerUp bound one step of the rate.
+	steerDown = 0.7
+	steerUp   = 1.1
 	// offeredShare weighs a window in the average offered rate.
 	offeredShare = 0.3
 	// admissionFloor is the least admitted rate, in cost a window.
@@ -36,9 +40,11 @@
 	// Rate is the cost (sub-requests) admitted in a window, 0 for no limit.
 	Rate  float64
 	Kinds map[topology.KindName]KindDemand
-	// Pressure is the worst pressure seen in the window, as a share of the
-	// deadline; Admitted is the cost admitted in it.
-	Pressure float64
+	// Observed sums the pressures seen in the window, as shares of the
+	// deadline; Observations counts them; Before is the mean of the last window.
+	Observed, Before float64
+	Observations     int
+	// Admitted is the cost admitted in the window.
 	Admitted float64
 	Window   time.Time
 }
@@ -84,7 +90,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.state.advance(now)
-	a.state.Pressure = max(a.state.Pressure, pressure)
+	a.state.Observed += pressure
+	a.state.Observations++
 }
 
 // advance closes the windows that have passed.
@@ -94,7 +101,8 @@
 	}
 	if now.Sub(s.Window) > 20*admissionWindow {
 		// Idle for long: what was learned no longer counts.
-		s.Window, s.Rate, s.Pressure, s.Admitted = now, 0, 0, 0
+		s.Window, s.Rate, s.Admitted = now, 0, 0
+		s.Observed, s.Before, s.Observations = 0, 0, 0
 	}
 	for now.Sub(s.Window) >= admissionWindow {
 		s.Window = s.Window.Add(admissionWindow)
@@ -111,23 +119,32 @@
 		s.Kinds[name] = k
 		total += k.Offered
 	}
-	switch {
-	case s.Pressure > pressureHigh:
-		base := s.Rate
-		if base == 0 || s.Admitted < base {
-			base = max(s.Admitted, admissionFloor)
-		}
-		s.Rate = max(base*admissionCut, admissionFloor)
-	case s.Rate > 0:
-		s.Rate *= admissionRaise
-		if s.Rate > 2*total {
-			s.Rate = 0
-		}
+	pressure := 0.0
+	if s.Observations > 0 {
+		pressure = s.Observed / float64(s.Observations)
 	}
-	s.Pressure, s.Admitted = 0, 0
+	s.steer(pressure, total)
+	s.Before, s.Observed, s.Observations, s.Admitted = pressure, 0, 0, 0
 	s.deal(total)
 }
 
+// steer moves the rate towards the target pressure. There is no limit until
+// the pressure first passes the target, nor once the rate is far above what is
+// offered.
+func (s *AdmissionState) steer(pressure, total float64) {
+	if s.Rate == 0 {
+		if pressure <= pressureTarget {
+			return
+		}
+		s.Rate = s.Admitted
+	}
+	factor := 1 + steerLevel*(pressureTarget-pressure) - steerSlope*(pressure-s.Before)
+	s.Rate = max(s.Rate*min(max(factor, steerDown), steerUp), admissionFloor)
+	if s.Rate > 2*total {
+		s.Rate = 0
+	}
+}
+
 // deal shares the rate among the kinds by weight; no kind gets more than it
 // offers, and what is left goes to the others.
 func (s *AdmissionState) deal(total float64) {
--- a/query/gather.go
+++ b/query/gather.go
@@ -20,7 +20,8 @@
 	Owner   topology.VMName
 	Version uint64
 	Hedge   bool
-	Exclude []string
+	// Avoid names a target that failed the shard, empty if there is none.
+	Avoid string
 }
 
 // Result is what came of an attempt.
@@ -87,6 +88,7 @@
 type cell struct {
 	attempts []attemptState
 	tried    []int
+	avoid    string
 	result   *pb.SubReply
 	missing  api.MissingReason
 	done     bool
@@ -162,6 +164,7 @@
 		Owner:   p.Candidates[pos].Owner,
 		Version: g.plan.Version,
 		Hedge:   hedge,
+		Avoid:   c.avoid,
 	}
 	c.tried = append(c.tried, pos)
 	c.attempts = append(c.attempts, attemptState{attempt: at, sentAt: now, running: true})
@@ -267,13 +270,29 @@
 	if c.anyRunning() {
 		return
 	}
-	if !r.Ended && g.mayRetry(r) && g.sendTo(r.Attempt.Shard, false, now, a) {
+	if !r.Ended && g.mayRetry(r) && g.again(c, r, now, a) {
 		g.Counts.Retries++
 		return
 	}
 	g.miss(c, reasonFor(r))
 }
 
+// again asks another owner, or the same one for another of its targets.
+func (g *Gather) again(c *cell, r Result, now time.Time, a *Actions) bool {
+	failed := r.Reply.GetTarget()
+	if failed != "" {
+		c.avoid = failed
+	}
+	if g.sendTo(r.Attempt.Shard, false, now, a) {
+		return true
+	}
+	if failed == "" {
+		return false
+	}
+	c.tried = c.tried[:0]
+	return g.sendTo(r.Attempt.Shard, false, now, a)
+}
+
 // mayRetry reports whether a failed attempt may be followed by another one.
 // Only attempts that can add load draw on the budget.
 func (g *Gather) mayRetry(r Result) bool {
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -32,14 +33,15 @@
 		if ctx.Err() != nil {
 			return a.notStarted(endReason(ctx))
 		}
-		c, err := a.pool.get(ctx)
+		c, err := a.pool.get(ctx, a.search.ClosedIdle)
 		if err != nil {
-			return a.notStarted(connectReason(ctx))
+			return a.notStarted(connectReason(ctx, err))
 		}
 		n, err := a.send(c)
 		if err == nil {
 			return a.receive(ctx, c)
 		}
+		a.pool.setSuspect(true)
 		c.drop()
 		if n > 0 {
 			return Outcome{Status: Unknown, Reason: ReasonConnectionLost}
@@ -98,6 +100,12 @@
 	out, reusable := readAnswer(c, a)
 	stop()
 	a.forget()
+	switch {
+	case out.Process != 0:
+		a.pool.setSuspect(false)
+	case out.Reason == ReasonConnectionLost:
+		a.pool.setSuspect(true)
+	}
 	if reusable {
 		c.put()
 	} else {
@@ -142,9 +150,13 @@
 	return ReasonCancelled
 }
 
-func connectReason(ctx context.Context) Reason {
-	if ctx.Err() != nil {
+func connectReason(ctx context.Context, err error) Reason {
+	var closed *ClosedIdleError
+	switch {
+	case ctx.Err() != nil:
 		return endReason(ctx)
+	case errors.As(err, &closed):
+		return ReasonConnectionLost
 	}
 	return ReasonConnect
 }
@@ -154,7 +166,7 @@
 func (c *Client) cancel(p *pool, number string) {
 	ctx, stop := context.WithTimeout(context.Background(), c.opts.CancelWait)
 	defer stop()
-	conn, err := p.get(ctx)
+	conn, err := p.get(ctx, nil)
 	if err != nil {
 		return
 	}
--- a/target/health.go
+++ b/target/health.go
@@ -36,7 +36,7 @@
 // Health implements Searcher.
 func (c *Client) Health(ctx context.Context, t *topology.Target) (Health, error) {
 	p := c.pool(t)
-	conn, err := p.get(ctx)
+	conn, err := p.get(ctx, nil)
 	if err != nil {
 		return Health{}, err
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -34,6 +34,8 @@
 	idle   []*conn
 	open   int
 	closed bool
+	// suspect is set once the target closed a connection, until it answers.
+	suspect bool
 }
 
 // conn is one connection, used by one request at a time.
@@ -50,20 +52,45 @@
 	return &pool{client: c, addr: addr, host: addr.String()}
 }
 
-// get returns an idle connection that is still open, or a new one.
-func (p *pool) get(ctx context.Context) (*conn, error) {
+// ClosedIdleError says that the target closed an idle connection and that the
+// search therefore wasn't sent.
+type ClosedIdleError struct{}
+
+// Error implements error.
+func (*ClosedIdleError) Error() string { return "the target closed an idle connection" }
+
+// get returns an idle connection that is still open, or a new one. If the
+// target closed a connection since its last answer, closedIdle, unless nil,
+// decides about a new one.
+func (p *pool) get(ctx context.Context, closedIdle func() bool) (*conn, error) {
 	for {
 		c := p.takeIdle()
 		if c == nil {
+			if closedIdle != nil && p.suspected() && !closedIdle() {
+				return nil, &ClosedIdleError{}
+			}
 			return p.dial(ctx)
 		}
 		if c.alive() {
 			return c, nil
 		}
+		p.setSuspect(true)
 		c.drop()
 	}
 }
 
+func (p *pool) setSuspect(suspect bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspect = suspect
+}
+
+func (p *pool) suspected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspect
+}
+
 func (p *pool) takeIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/target/target.go
+++ b/target/target.go
@@ -16,6 +16,11 @@
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
 	Body     []byte
+	// ClosedIdle, if set, is asked before the search goes out on a new
+	// connection while the target has closed one since its last answer: it may
+	// have restarted. If it returns false, the search ends as NotStarted with
+	// ReasonConnectionLost.
+	ClosedIdle func() bool
 }
 
 // Status is the result of a search as the promises need it.
