Add the measuring program with the naive and the static policy

Scenarios are schedules of faults over the stand-ins; a query's body is unique, so the targets' ledgers prove which query each search belonged to. The product policy isn't wired yet and exits with a typed error.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,143 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/standin"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+func TestSitesHaveTheirSizes(t *testing.T) {
+	tests := []struct {
+		name                 string
+		dcs, targets, shards int
+	}{{Duenger, 3, 89, 27}, {Brazos, 4, 83, 27}}
+	for _, tt := range tests {
+		s, err := NewSite(tt.name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		shards := len(topology.NewIndex(s.Deployment).Shards())
+		if len(s.DataCentres) != tt.dcs || len(s.Targets) != tt.targets || shards != tt.shards || len(s.Routers) != 8 {
+			t.Errorf("%s: %d data centres, %d targets, %d shards", tt.name, len(s.DataCentres), len(s.Targets), shards)
+		}
+	}
+}
+
+func TestRateFitsTheScarcestShard(t *testing.T) {
+	s, _ := NewSite(Duenger)
+	rate := s.Rate(0.5, meanService())
+	// Nine slots a shard, asked by 0.4 of the arrivals.
+	want := 0.5 * 9 / meanService().Seconds() / 0.4
+	if math.Abs(rate-want) > 1e-6 {
+		t.Fatalf("got %f, want %f", rate, want)
+	}
+}
+
+func TestArrivalsRepeat(t *testing.T) {
+	l := Load{Seed: 3, Share: 0.5, Warmup: time.Second, Duration: 2 * time.Second}
+	s, _ := NewSite(Brazos)
+	a, b := Arrivals(s, l), Arrivals(s, l)
+	if len(a) == 0 || len(a) != len(b) {
+		t.Fatalf("%d and %d arrivals", len(a), len(b))
+	}
+	for i := range a {
+		if a[i].At != b[i].At || a[i].Hash != b[i].Hash {
+			t.Fatalf("arrival %d differs", i)
+		}
+	}
+}
+
+func TestUnknownNamesAreTyped(t *testing.T) {
+	_, err := Measure(context.Background(), Request{Scenario: "no-such", Deployment: Brazos})
+	var unknown *UnknownError
+	if !errors.As(err, &unknown) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// record is a world whose only target ran the given searches.
+func record(entries ...standin.Entry) *ledgers {
+	l := &ledgers{
+		begun: map[search]int{}, answered: map[search]map[uint64]bool{}, ran: map[string]int{},
+	}
+	for _, e := range entries {
+		l.add(e)
+	}
+	return l
+}
+
+func TestAnswersAreCheckedAgainstLedgers(t *testing.T) {
+	group := &topology.Group{Shards: []topology.ShardID{"a", "b"}}
+	kind := &topology.Kind{Deadline: Deadline, Idempotent: false}
+	arrival := &Arrival{Group: group, Kind: kind, Hash: "h"}
+	ran := func(shard topology.ShardID) standin.Entry {
+		return standin.Entry{BodyHash: "h", Shard: shard, Version: 1, End: standin.Answered}
+	}
+	result := func(shard topology.ShardID, hash string, version uint64) api.ShardResult {
+		body, _ := json.Marshal(standin.Result{Shard: shard, BodyHash: hash, Version: version})
+		return api.ShardResult{Shard: shard, Body: body}
+	}
+	whole := func(results ...api.ShardResult) Reply {
+		return Reply{Answer: &api.Answer{
+			Snapshot: 1, Complete: true, Covered: len(results), Asked: 2, Results: results,
+		}}
+	}
+	tests := []struct {
+		name  string
+		ran   *ledgers
+		reply Reply
+		want  Measures
+	}{
+		{"true", record(ran("a"), ran("b")), whole(result("a", "h", 1), result("b", "h", 1)), Measures{}},
+		{"shard that didn't run", record(ran("a")), whole(result("a", "h", 1), result("b", "h", 1)), Measures{LyingCoverage: 1}},
+		{"shard left out silently", record(ran("a")), whole(result("a", "h", 1)), Measures{LyingCoverage: 1}},
+		{"two versions", record(ran("a"), ran("b")), whole(result("a", "h", 1), result("b", "h", 2)), Measures{MixedSnapshots: 1}},
+		{"another's body", record(ran("a"), ran("b")), whole(result("a", "h", 1), result("b", "x", 1)), Measures{Crossed: 1}},
+		{"ran twice", record(ran("a"), ran("b"), ran("b")), whole(result("a", "h", 1), result("b", "h", 1)), Measures{Doubled: 1}},
+		{"refusal that lies", record(ran("a")), Reply{Refusal: &api.Refusal{Execution: api.NotRun}}, Measures{RefusedNotRun: 1, LyingRefusals: 1}},
+		{"true refusal", record(), Reply{Refusal: &api.Refusal{Execution: api.NotRun}}, Measures{RefusedNotRun: 1}},
+		{"unsure refusal", record(ran("a")), Reply{Refusal: &api.Refusal{Execution: api.OutcomeUnknown}}, Measures{}},
+		{"lost", record(ran("a")), Reply{}, Measures{Lost: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &Measures{Missing: map[api.MissingReason]int{}, Refusals: map[api.Code]int{}}
+			c := newCollector(m, tt.ran)
+			c.take(&Sample{Arrival: arrival, Replies: []Reply{tt.reply}})
+			got := Measures{
+				LyingCoverage: m.LyingCoverage, MixedSnapshots: m.MixedSnapshots, Crossed: m.Crossed,
+				Doubled: m.Doubled, RefusedNotRun: m.RefusedNotRun, LyingRefusals: m.LyingRefusals, Lost: m.Lost,
+			}
+			if got.promises() != tt.want.promises() {
+				t.Fatalf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+// promises lists the counts that must be 0 but for refused_not_run.
+func (m *Measures) promises() [7]int {
+	return [7]int{
+		m.LyingCoverage, m.MixedSnapshots, m.Crossed, m.Doubled, m.RefusedNotRun, m.LyingRefusals, m.Lost,
+	}
+}
+
+func TestNaiveRunIsTruthful(t *testing.T) {
+	site, _ := NewSite(Brazos)
+	sc, _ := FindScenario("steady")
+	l := Load{Seed: 1, Share: 0.1, Duration: time.Second}
+	m, err := Execute(context.Background(), site, sc, l, NewNaive(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.Queries == 0 || m.promises() != [7]int{} {
+		t.Fatalf("got %+v", m)
+	}
+}
--- /dev/null
+++ b/bench/deployments.go
@@ -0,0 +1,219 @@
+// Package bench measures the product against simpler policies on stand-in
+// targets: the same arrivals and the same faults for each, on loopback sockets.
+package bench
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Names of the deployments.
+const (
+	Duenger = "duenger"
+	Brazos  = "brazos"
+)
+
+const (
+	// Deadline is how long a caller waits.
+	Deadline  = 500 * time.Millisecond
+	warmAfter = 5 * time.Second
+	coldLimit = 1
+	routers   = 8
+	budget    = 0.02
+)
+
+// Site is a deployment with what the bench must know besides.
+type Site struct {
+	*topology.Deployment
+	// BetweenDCs and ToClients are one-way latencies.
+	BetweenDCs time.Duration
+	ToClients  time.Duration
+	Mix        []Share
+	// Routers are the entry VMs' addresses, without ports.
+	Routers []topology.VM
+}
+
+// Share is the share of a kind of query among the arrivals. Its queries ask
+// every shard of one group.
+type Share struct {
+	Kind  topology.KindName  `json:"kind"`
+	Group topology.GroupName `json:"group"`
+	Share float64            `json:"share"`
+}
+
+// groupSpec is one row of a deployment's table.
+type groupSpec struct {
+	name     topology.GroupName
+	shards   int
+	replicas int
+	slots    int
+	conns    int
+	cost     time.Duration
+}
+
+// kindSpec is one kind of query and its share.
+type kindSpec struct {
+	name   topology.KindName
+	group  topology.GroupName
+	share  float64
+	weight float64
+	once   bool
+}
+
+// NewSite builds a named deployment. Targets live on 127.1.d.n and routers on
+// 127.2.d.n, where d counts the data centres from 1. Ports are the caller's.
+func NewSite(name string) (*Site, error) {
+	switch name {
+	case Duenger:
+		return duenger(), nil
+	case Brazos:
+		return brazos(), nil
+	}
+	return nil, &UnknownError{What: "deployment", Name: name}
+}
+
+func duenger() *Site {
+	s := newSite(Duenger, "ch-mittelland", "bern-a", "olten-b", "aarau-c")
+	s.BetweenDCs = 1500 * time.Microsecond
+	s.ToClients = 3 * time.Millisecond
+	s.addGroups([]groupSpec{
+		{"agent-desk", 10, 3, 3, 30, 6 * time.Millisecond},
+		{"coop-portal", 15, 3, 3, 30, 6 * time.Millisecond},
+		{"archive-reader", 1, 10, 6, 110, time.Millisecond},
+		{"notice-mailer", 1, 4, 6, 110, time.Millisecond},
+	})
+	s.addKinds([]kindSpec{
+		{"price-sweep", "agent-desk", 0.4, 3, false},
+		{"bulletin-search", "coop-portal", 0.35, 2, false},
+		{"archive-lookup", "archive-reader", 0.2, 1, false},
+		{"order-confirmation", "notice-mailer", 0.05, 3, true},
+	})
+	return s
+}
+
+func brazos() *Site {
+	s := newSite(Brazos, "central-tx", "ctx-a", "ctx-b", "ctx-c", "ctx-d")
+	s.BetweenDCs = 500 * time.Microsecond
+	s.ToClients = time.Millisecond
+	s.addGroups([]groupSpec{
+		{"fitdesk", 10, 3, 2, 25, 6 * time.Millisecond},
+		{"orderbook", 15, 3, 2, 25, 6 * time.Millisecond},
+		{"quoteroom", 1, 4, 6, 50, time.Millisecond},
+		{"alterlog", 1, 4, 6, 50, time.Millisecond},
+	})
+	s.addKinds([]kindSpec{
+		{"fitting-lookup", "fitdesk", 0.4, 3, false},
+		{"roster-check", "orderbook", 0.35, 2, false},
+		{"swatch-fetch", "quoteroom", 0.2, 1, false},
+		{"jacket-order", "alterlog", 0.05, 3, true},
+	})
+	return s
+}
+
+func newSite(name string, region topology.Region, dcs ...topology.DataCentre) *Site {
+	d := &topology.Deployment{
+		Name: name, Region: region, DataCentres: dcs, HedgeBudget: budget, RetryBudget: budget,
+	}
+	s := &Site{Deployment: d}
+	for i := range routers {
+		dc := i % len(dcs)
+		ip := netip.AddrFrom4([4]byte{127, 2, byte(dc + 1), byte(i + 1)})
+		s.Routers = append(s.Routers, topology.VM{
+			Name:       topology.VMName(fmt.Sprintf("entry-%d", i+1)),
+			DataCentre: dcs[dc],
+			RPC:        netip.AddrPortFrom(ip, 0),
+			HTTP:       netip.AddrPortFrom(ip, 0),
+		})
+	}
+	return s
+}
+
+func (s *Site) addGroups(specs []groupSpec) {
+	for _, spec := range specs {
+		g := topology.Group{
+			Name: spec.name, Slots: spec.slots, Connections: spec.conns, ConnectCost: spec.cost,
+			ColdLimit: coldLimit, WarmAfter: warmAfter,
+		}
+		for n := range spec.shards {
+			shard := topology.ShardID(fmt.Sprintf("%s/%02d", spec.name, n))
+			g.Shards = append(g.Shards, shard)
+			for r := range spec.replicas {
+				s.addTarget(shard, spec.name, n, r)
+			}
+		}
+		s.Groups = append(s.Groups, g)
+	}
+}
+
+// addTarget spreads the replicas of a shard over the data centres.
+func (s *Site) addTarget(shard topology.ShardID, group topology.GroupName, n, replica int) {
+	dc := (n + replica) % len(s.DataCentres)
+	ip := netip.AddrFrom4([4]byte{127, 1, byte(dc + 1), byte(len(s.Targets)%250 + 1)})
+	s.Targets = append(s.Targets, topology.Target{
+		ID:         topology.TargetID(fmt.Sprintf("%s/%d", shard, replica)),
+		Shard:      shard,
+		Group:      group,
+		DataCentre: s.DataCentres[dc],
+		Addr:       netip.AddrPortFrom(ip, 0),
+	})
+}
+
+func (s *Site) addKinds(specs []kindSpec) {
+	for _, spec := range specs {
+		s.Kinds = append(s.Kinds, topology.Kind{
+			Name: spec.name, Weight: spec.weight, Policy: topology.PolicyCoverage,
+			MinCoverage: minCoverage, Deadline: Deadline, Idempotent: !spec.once,
+		})
+		s.Mix = append(s.Mix, Share{Kind: spec.name, Group: spec.group, Share: spec.share})
+	}
+}
+
+// minCoverage is the share of shards under which an answer is worth nothing.
+const minCoverage = 0.5
+
+// OneWay returns the one-way latency from the host with address ip to a data
+// centre. Hosts other than routers and targets count as near.
+func (s *Site) OneWay(ip netip.Addr, dc topology.DataCentre) time.Duration {
+	b := ip.Unmap().As4()
+	place := int(b[2]) - 1
+	if b[1] == 0 || place < 0 || place >= len(s.DataCentres) || s.DataCentres[place] == dc {
+		return 0
+	}
+	return s.BetweenDCs
+}
+
+// Rate returns the arrivals a second that use the given share of the slots of
+// the scarcest shard.
+func (s *Site) Rate(load float64, meanService time.Duration) float64 {
+	rate := 0.0
+	for _, m := range s.Mix {
+		if m.Share <= 0 {
+			continue
+		}
+		r := load * float64(s.slotsPerShard(m.Group)) / meanService.Seconds() / m.Share
+		if rate == 0 || r < rate {
+			rate = r
+		}
+	}
+	return rate
+}
+
+func (s *Site) slotsPerShard(name topology.GroupName) int {
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		if g.Name != name {
+			continue
+		}
+		replicas := 0
+		for j := range s.Targets {
+			if s.Targets[j].Shard == g.Shards[0] {
+				replicas++
+			}
+		}
+		return replicas * g.Slots
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"context"
+	"time"
+)
+
+// Request says what to measure.
+type Request struct {
+	Scenario   string
+	Deployment string
+	Load       Load
+	// Policies names the policies in their order.
+	Policies []string
+}
+
+// Names of the policies.
+const (
+	PolicyNaive   = "naive"
+	PolicyProduct = "product"
+	PolicyStatic  = "static"
+)
+
+// Report is the result of one request.
+type Report struct {
+	Scenario   string    `json:"scenario"`
+	Deployment string    `json:"deployment"`
+	Seed       uint64    `json:"seed"`
+	Queries    int       `json:"queries"`
+	DurationS  float64   `json:"duration_s"`
+	Load       float64   `json:"load"`
+	Mix        []Share   `json:"mix"`
+	Naive      *Measures `json:"naive,omitempty"`
+	Product    *Measures `json:"product,omitempty"`
+	Static     *Measures `json:"static,omitempty"`
+}
+
+// Measure runs each policy in turn on fresh targets with the same arrivals and
+// the same faults.
+func Measure(ctx context.Context, q Request) (*Report, error) {
+	sc, err := FindScenario(q.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	if q.Load.Share == 0 {
+		q.Load.Share = sc.Load
+	}
+	report := &Report{
+		Scenario: q.Scenario, Deployment: q.Deployment, Seed: q.Load.Seed,
+		DurationS: q.Load.Duration.Seconds(), Load: q.Load.Share,
+	}
+	for _, name := range q.Policies {
+		site, err := siteFor(q.Deployment, sc)
+		if err != nil {
+			return nil, err
+		}
+		report.Mix = site.Mix
+		m, err := measurePolicy(ctx, name, site, sc, q.Load)
+		if err != nil {
+			return nil, err
+		}
+		report.put(name, m)
+	}
+	return report, nil
+}
+
+func measurePolicy(ctx context.Context, name string, site *Site, sc Scenario, l Load) (*Measures, error) {
+	p, err := newPolicy(name, l.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return Execute(ctx, site, sc, l, p)
+}
+
+// siteFor builds the deployment with the scenario's mix of queries.
+func siteFor(deployment string, sc Scenario) (*Site, error) {
+	site, err := NewSite(deployment)
+	if err != nil {
+		return nil, err
+	}
+	if sc.Once > 0 {
+		site.setOnce(sc.Once)
+	}
+	return site, nil
+}
+
+// setOnce gives non-idempotent kinds the given share of the arrivals.
+func (s *Site) setOnce(share float64) {
+	others := 0.0
+	once := make(map[string]bool)
+	for _, k := range s.Kinds {
+		once[string(k.Name)] = !k.Idempotent
+	}
+	for _, m := range s.Mix {
+		if !once[string(m.Kind)] {
+			others += m.Share
+		}
+	}
+	for i := range s.Mix {
+		m := &s.Mix[i]
+		if once[string(m.Kind)] {
+			m.Share = share
+		} else {
+			m.Share *= (1 - share) / others
+		}
+	}
+}
+
+func newPolicy(name string, seed uint64) (Policy, error) {
+	switch name {
+	case PolicyNaive:
+		return NewNaive(seed), nil
+	case PolicyStatic:
+		return NewStatic(seed), nil
+	case PolicyProduct:
+		return nil, &NotBuiltError{What: "policy", Name: name}
+	}
+	return nil, &UnknownError{What: "policy", Name: name}
+}
+
+func (r *Report) put(name string, m *Measures) {
+	r.Queries = m.Queries
+	switch name {
+	case PolicyNaive:
+		r.Naive = m
+	case PolicyStatic:
+		r.Static = m
+	default:
+		r.Product = m
+	}
+}
+
+// DefaultWarmup is the time under load before a run is measured.
+const DefaultWarmup = 5 * time.Second
--- /dev/null
+++ b/standin/page.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// PathLedger is the path of the ledgers' page.
+const PathLedger = "/ledger"
+
+// LedgerView is one target's part of the ledgers' page.
+type LedgerView struct {
+	Target  topology.TargetID `json:"target"`
+	Totals  Totals            `json:"totals"`
+	Entries []Entry           `json:"entries"`
+}
+
+// LedgerPage serves the ledgers of targets as a JSON list of LedgerView.
+func LedgerPage(targets []*Target) http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(PathLedger, func(w http.ResponseWriter, _ *http.Request) {
+		views := make([]LedgerView, 0, len(targets))
+		for _, t := range targets {
+			views = append(views, LedgerView{
+				Target: t.opts.ID, Totals: t.ledger.Totals(), Entries: t.ledger.Entries(),
+			})
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(views)
+	}).Methods(http.MethodGet)
+	return m
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -156,3 +156,13 @@
 	defer t.mu.Unlock()
 	t.lie = l
 }
+
+// Newest returns the newest index version served, 0 if there is none.
+func (t *Target) Newest() uint64 {
+	t.slots.mu.Lock()
+	defer t.slots.mu.Unlock()
+	if len(t.slots.versions) == 0 {
+		return 0
+	}
+	return t.slots.versions[0]
+}
