--- a/target/attempt.go
+++ b/target/attempt.go
@@ -42,7 +42,7 @@
 		}
 		c.drop()
 		if n > 0 {
-			return Outcome{Status: Unknown, Reason: ReasonConnectionLost}
+			return Outcome{Status: Unknown, Reason: lostReason(ctx)}
 		}
 		if try == maxTries {
 			return a.notStarted(ReasonConnect)
@@ -103,12 +103,20 @@
 	} else {
 		c.drop()
 	}
-	if out.Reason == ReasonConnectionLost && ctx.Err() != nil {
-		out.Reason = endReason(ctx)
+	if out.Reason == ReasonConnectionLost {
+		out.Reason = lostReason(ctx)
 	}
 	return out
 }
 
+// lostReason says why a connection ended before the answer.
+func lostReason(ctx context.Context) Reason {
+	if ctx.Err() != nil {
+		return endReason(ctx)
+	}
+	return ReasonConnectionLost
+}
+
 // forget keeps a late withdraw off the connection.
 func (a *attempt) forget() {
 	a.mu.Lock()
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -264,9 +263,29 @@
 }
 
 func TestHeaderBreakIsRefused(t *testing.T) {
-	s := search(&topology.Target{Addr: netip.MustParseAddrPort("127.0.0.1:9")}, time.Second)
+	var served atomic.Int64
+	tgt, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		echo(w, r)
+	})
+	s := search(tgt, 5*time.Second)
 	s.RequestID = "r1\r\nPeridot-Attempt: 3"
-	if out := newClient(t).Search(context.Background(), s); out.Status != target.NotStarted {
+	if out := newClient(t).Search(context.Background(), s); out.Status != target.NotStarted || served.Load() != 0 {
+		t.Fatalf("got %+v", out)
+	}
+}
+
+// Once a part of a search went out, the target may run it.
+func TestHalfSentSearchIsUnknown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	s := search(asTarget(l.Addr()), time.Second)
+	s.Body = make([]byte, 32<<20) // More than the sockets' buffers; nobody reads it.
+	out := newClient(t).Search(context.Background(), s)
+	if out.Status != target.Unknown || out.Reason != target.ReasonDeadline || out.Ended {
 		t.Fatalf("got %+v", out)
 	}
 }
