Shorten the queue before each stream's sender

Cause: an idle stream between two routers held 136 KiB, both ends together; 810 routers hold 809 of them each. Most of it was the queue of 4,096 calls.

--- a/rpc/caller.go
+++ b/rpc/caller.go
@@ -10,7 +10,7 @@
 	// maxBatch bounds the number of messages in one batch.
 	maxBatch = 512
 	// sendQueue is the number of messages that wait for the sender.
-	sendQueue = 4096
+	sendQueue = 512
 )
 
 // BatchStream is one end of a two-way stream of batches.
