Join the whole path: router, control daemon, trial, separate processes

Cause: the parts were built apart; a query and an intent now go through real sockets and separate processes.

--- a/cmd/peridotmux-bench/standin.go
+++ b/cmd/peridotmux-bench/standin.go
@@ -7,27 +7,31 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/standin"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
 // standInFlags are the flags of one process of stand-in targets.
 type standInFlags struct {
-	addr   string
-	ledger string
-	count  int
-	shard  string
-	opts   standin.Options
+	deployment string
+	addr       string
+	ledger     string
+	count      int
+	shard      string
+	opts       standin.Options
 }
 
 func registerStandIn(app *kingpin.Application, commands map[string]func() error) {
 	cmd := app.Command("standin", "Run stand-in targets until interrupted.")
 	f := &standInFlags{}
-	cmd.Flag("addr", "IP and port of the first; the others take the next ports.").Required().StringVar(&f.addr)
+	cmd.Flag("deployment", "Deployment file; all of its targets are run.").StringVar(&f.deployment)
+	cmd.Flag("addr", "IP and port of the first; the others take the next ports.").StringVar(&f.addr)
 	cmd.Flag("ledger", "IP and port of the ledgers' page, /ledger.").StringVar(&f.ledger)
 	cmd.Flag("count", "Number of targets.").Default("1").IntVar(&f.count)
 	cmd.Flag("shard", "The shard that all of them serve.").Default("shard").StringVar(&f.shard)
@@ -43,21 +47,16 @@
 
 // run serves until the process is interrupted.
 func (f *standInFlags) run() error {
-	first, err := netip.ParseAddrPort(f.addr)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	plans, err := f.plan()
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
 	var targets []*standin.Target
-	for i := range f.count {
-		o := f.opts
-		o.ID = topology.TargetID(fmt.Sprintf("%s/%d", f.shard, i))
-		o.Shard = topology.ShardID(f.shard)
-		o.Seed += uint64(i) //nolint:gosec // Small and positive.
-		t := standin.New(o)
-		addr := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)) //nolint:gosec // Bounded by the ports.
-		if err := t.Listen(addr); err != nil {
+	for _, p := range plans {
+		t := standin.New(p.options)
+		if err := t.Listen(p.addr); err != nil {
 			return err
 		}
 		defer t.Close()
@@ -70,6 +69,50 @@
 	return servePage(ctx, f.ledger, standin.LedgerPage(targets))
 }
 
+// planned is one target to run.
+type planned struct {
+	addr    netip.AddrPort
+	options standin.Options
+}
+
+// plan lists the targets that the flags ask for.
+func (f *standInFlags) plan() ([]planned, error) {
+	if f.deployment != "" {
+		return f.planDeployment()
+	}
+	first, err := netip.ParseAddrPort(f.addr)
+	if err != nil {
+		return nil, err
+	}
+	var plans []planned
+	for i := range f.count {
+		o := f.opts
+		o.ID = topology.TargetID(fmt.Sprintf("%s/%d", f.shard, i))
+		o.Shard = topology.ShardID(f.shard)
+		o.Seed += uint64(i)                                              //nolint:gosec // Small and positive.
+		addr := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)) //nolint:gosec // Bounded by the ports.
+		plans = append(plans, planned{addr, o})
+	}
+	return plans, nil
+}
+
+func (f *standInFlags) planDeployment() ([]planned, error) {
+	d, err := settings.LoadDeployment(f.deployment)
+	if err != nil {
+		return nil, err
+	}
+	index := topology.NewIndex(d)
+	var plans []planned
+	for i := range d.Targets {
+		t := &d.Targets[i]
+		o := standin.ForTarget(t, index.GroupOf(t.Shard))
+		o.Cold = f.opts.Cold
+		o.Seed = f.opts.Seed + uint64(i) //nolint:gosec // Small and positive.
+		plans = append(plans, planned{t.Addr, o})
+	}
+	return plans, nil
+}
+
 func servePage(ctx context.Context, addr string, page http.Handler) error {
 	server := &http.Server{Addr: addr, Handler: page, ReadHeaderTimeout: time.Minute}
 	failed := make(chan error, 1)
--- a/cmd/peridotmux/main.go
+++ b/cmd/peridotmux/main.go
@@ -21,6 +21,8 @@
 	registerIntents(app, commands)
 	registerStatus(app, commands)
 	registerMembers(app, commands)
+	registerQuery(app, commands)
+	registerTrial(app, commands)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
 		app.FatalUsage("%s", err)
--- /dev/null
+++ b/cmd/peridotmux/trial.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/control/adminclient"
+	"github.com/peridotmux/peridotmux/examples"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/topology"
+	"github.com/peridotmux/peridotmux/trial"
+)
+
+const (
+	trialMembers = 3
+	trialRouters = 4
+	// trialStart bounds the time until a trial is ready.
+	trialStart = 20 * time.Second
+	// tourSettle bounds the time until an intent is in force.
+	tourSettle = 10 * time.Second
+	// tourPoll is the time between two looks at an intent.
+	tourPoll = 100 * time.Millisecond
+)
+
+// NotInForceError says that an intent didn't come into force in time.
+type NotInForceError struct {
+	Intent string
+	State  api.IntentState
+}
+
+// Error describes the failure.
+func (e *NotInForceError) Error() string {
+	return "intent " + e.Intent + " is still " + string(e.State)
+}
+
+func registerTrial(app *kingpin.Application, commands commandSet) {
+	cmd := app.Command("trial", "Run a whole system in one process, with stand-in targets.")
+	name := cmd.Flag("deployment", "Example deployment.").Default("duenger").Enum(examples.Names()...)
+	tour := cmd.Flag("tour", "Run a query, take a data centre out, bring it back, and end.").Bool()
+	logs := cmd.Flag("logs", "Print the processes' log lines.").Bool()
+	commands[cmd.FullCommand()] = func() error { return runTrial(*name, *tour, *logs) }
+}
+
+func runTrial(name string, tour, logs bool) error {
+	deployment, err := examples.Deployment(name)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "peridotmux-trial-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	cfg := trial.Config{
+		Deployment: deployment, Members: trialMembers, Routers: trialRouters, DataDir: dir,
+		Log: settings.Log{Format: settings.LogText},
+	}
+	if logs {
+		cfg.LogOutput = os.Stderr
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s, err := startTrial(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Stop() }()
+	if tour {
+		return runTour(ctx, os.Stdout, s)
+	}
+	printHints(os.Stdout, s)
+	<-ctx.Done()
+	return nil
+}
+
+func startTrial(ctx context.Context, cfg trial.Config) (*trial.System, error) {
+	s, err := trial.Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, trialStart)
+	defer cancel()
+	if err := s.WaitReady(ctx); err != nil {
+		_ = s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func printHints(w io.Writer, s *trial.System) {
+	out := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	out("%d targets, %d control members and %d routers run.", len(s.Targets), len(s.Members), len(s.Routers))
+	out("In another shell:")
+	out("  export PERIDOTMUX_ROUTER=%s", s.Routers[0].VM.HTTP)
+	out("  export PERIDOTMUX_CONTROL=%s", strings.Join(s.ControlHTTP(), "\n"))
+	out("  peridotmux query --kind %s", s.Deployment.Kinds[0].Name)
+	out("  peridotmux status")
+	out("  peridotmux intent take-out --data-centre %s", s.Deployment.DataCentres[0])
+	out("Ctrl-C ends it.")
+}
+
+// tourist runs the steps of a tour and prints each.
+type tourist struct {
+	ctx    context.Context
+	w      io.Writer
+	system *trial.System
+	client *adminclient.Client
+}
+
+// runTour shows an answer, a data centre taken out and brought back.
+func runTour(ctx context.Context, w io.Writer, s *trial.System) error {
+	t := &tourist{ctx: ctx, w: w, system: s, client: adminclient.New(s.ControlHTTP())}
+	t.say("%d targets in %d shards, %d control members, %d routers", len(s.Targets),
+		len(topology.NewIndex(s.Deployment).Shards()), len(s.Members), len(s.Routers))
+	dc := s.Deployment.DataCentres[0]
+	steps := []func() error{
+		func() error { return t.query("A query to all shards") },
+		func() error {
+			return t.intent("Take "+string(dc)+" out", api.IntentSpec{Kind: api.IntentTakeOut, DataCentre: dc})
+		},
+		func() error { return t.query("The same query, with " + string(dc) + " quiet") },
+		func() error {
+			return t.intent("Bring "+string(dc)+" back", api.IntentSpec{Kind: api.IntentBringBack, DataCentre: dc})
+		},
+		func() error { return t.query("The same query, with all back") },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tourist) say(format string, args ...any) { _, _ = fmt.Fprintf(t.w, format+"\n", args...) }
+
+func (t *tourist) query(title string) error {
+	t.say("\n== %s", title)
+	q := &api.Query{Kind: t.system.Deployment.Kinds[0].Name}
+	begin := time.Now()
+	a, err := runQuery(t.ctx, t.system.Routers[0].VM.HTTP.String(), q)
+	if err != nil {
+		return err
+	}
+	t.say("covered %d of %d shards from snapshot %d in %d ms; first result: %s", a.Covered, a.Asked,
+		a.Snapshot, time.Since(begin).Milliseconds(), shorten(string(a.Results[0].Body)))
+	for _, m := range a.Missing {
+		t.say("missing %s: %s", m.Shard, m.Reason)
+	}
+	return nil
+}
+
+func (t *tourist) intent(title string, spec api.IntentSpec) error {
+	t.say("\n== %s", title)
+	in, err := t.client.Submit(t.ctx, &api.Submission{Command: adminclient.NewCommand(), Intent: spec})
+	if err != nil {
+		return err
+	}
+	table := newTable(t.w)
+	writeIntent(table, in)
+	if err := table.flush(); err != nil {
+		return err
+	}
+	begin := time.Now()
+	_, err = t.client.Confirm(t.ctx, in.Plan.ID, &api.Confirmation{
+		Command: adminclient.NewCommand(), Base: in.Plan.Base,
+	})
+	if err != nil {
+		return err
+	}
+	settled, err := t.awaitInForce(in.ID)
+	if err != nil {
+		return err
+	}
+	t.say("confirmed; %s on %d routers after %d ms", settled.State, len(settled.Outcome.InForce),
+		time.Since(begin).Milliseconds())
+	return nil
+}
+
+// awaitInForce waits until every live router applies the intent.
+func (t *tourist) awaitInForce(id string) (*api.Intent, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, tourSettle)
+	defer cancel()
+	for {
+		in, err := t.client.Intent(ctx, id)
+		if err != nil {
+			return nil, err
+		}
+		if in.State == api.IntentInForce || in.State == api.IntentSettled {
+			return in, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &NotInForceError{Intent: id, State: in.State}
+		case <-time.After(tourPoll):
+		}
+	}
+}
--- /dev/null
+++ b/control/daemon/membership.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/peridotmux/peridotmux/consensus"
+	"github.com/peridotmux/peridotmux/consensus/group"
+	"github.com/peridotmux/peridotmux/control"
+)
+
+// statusTimeout bounds the time that the group takes to tell its members.
+const statusTimeout = time.Second
+
+// membership gives the operators' view of a consensus group.
+type membership struct {
+	group *group.Group
+}
+
+// Members lists the members, none if the group doesn't answer in time.
+func (m *membership) Members() []control.Member {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	status, err := m.group.Status(ctx)
+	if err != nil {
+		return nil
+	}
+	var out []control.Member
+	for _, x := range status.Members {
+		out = append(out, control.Member{
+			ID:      strconv.FormatUint(uint64(x.ID), 10),
+			Addr:    x.Addr,
+			Learner: x.Learner,
+			Match:   x.Match,
+			Active:  x.Active,
+		})
+	}
+	return out
+}
+
+// AddLearner adds a member that doesn't vote yet.
+func (m *membership) AddLearner(ctx context.Context, id, addr string) error {
+	n, err := parseID(id)
+	if err != nil {
+		return err
+	}
+	member, err := group.ParseMember(n, id, addr)
+	if err != nil {
+		return &control.MemberRefusedError{ID: id, Reason: err.Error()}
+	}
+	return m.group.AddLearner(ctx, member)
+}
+
+// Promote lets a learner vote that holds everything committed.
+func (m *membership) Promote(ctx context.Context, id string) error {
+	n, err := parseID(id)
+	if err != nil {
+		return err
+	}
+	return m.group.Promote(ctx, consensus.MemberID(n))
+}
+
+// Remove takes a member out of the group.
+func (m *membership) Remove(ctx context.Context, id string) error {
+	n, err := parseID(id)
+	if err != nil {
+		return err
+	}
+	return m.group.Remove(ctx, consensus.MemberID(n))
+}
+
+func parseID(id string) (uint64, error) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil || n == 0 {
+		return 0, &control.MemberRefusedError{ID: id, Reason: "a member's id is a whole number above 0"}
+	}
+	return n, nil
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/peridotmux/peridotmux/control/state"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
 )
 
 const (
@@ -57,6 +58,8 @@
 	Logger *slog.Logger
 	// Pages adds other pages to the HTTP server, such as metrics; may be nil.
 	Pages func(*mux.Router)
+	// First is the deployment of a group that has none yet; may be nil.
+	First *topology.Deployment
 }
 
 // Run runs a member until ctx ends.
@@ -78,6 +81,12 @@
 	work.Go(func() error {
 		return rpc.Serve(ctx, c.RPC, func(m drpc.Mux) error { return register(m, svc, group) })
 	})
+	if c.First != nil {
+		work.Go(func() error {
+			proposeFirst(ctx, group.Log, st, c.First, c.Logger)
+			return nil
+		})
+	}
 	work.Go(func() error { return serveHTTP(ctx, c, group, st, svc) })
 	c.Logger.Info("control member runs", "member", c.Member,
 		"rpc", c.RPC.Addr().String(), "http", c.HTTP.Addr().String())
--- /dev/null
+++ b/router/follow.go
@@ -0,0 +1,218 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/lease"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+const (
+	// memberSilence is how long a member may leave a renewal unanswered, or
+	// unconfirmed, before the router turns to another member.
+	memberSilence = 1200 * time.Millisecond
+	// redialPause is the time between two members that can't be reached.
+	redialPause = 100 * time.Millisecond
+)
+
+// SilentMemberError says that a control member gave no lease for too long.
+type SilentMemberError struct {
+	Addr  string
+	After time.Duration
+}
+
+// Error describes the failure.
+func (e *SilentMemberError) Error() string {
+	return "control member " + e.Addr + " gave no lease for " + e.After.String()
+}
+
+// follower keeps the board's replicated records and the lease current. It
+// follows one member of control at a time.
+type follower struct {
+	vm          topology.VM
+	incarnation uint64
+	members     []netip.AddrPort
+	board       *board.Board
+	lease       *lease.Lease
+	log         *slog.Logger
+	leaving     func() bool
+	// renewNow asks for a renewal before the interval is over.
+	renewNow chan struct{}
+	// onLeader is told the leader's address as the member knows it.
+	onLeader func(addr string)
+}
+
+// renew asks for a renewal at once.
+func (f *follower) renew() {
+	select {
+	case f.renewNow <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the members in turn until ctx ends. Routers begin with different
+// members, so that each member serves its share.
+func (f *follower) run(ctx context.Context) {
+	first := int(xxhash.Sum64String(string(f.vm.Name)) % uint64(len(f.members)))
+	for i := first; ctx.Err() == nil; i++ {
+		member := f.members[i%len(f.members)]
+		err := f.followMember(ctx, member)
+		if ctx.Err() != nil {
+			return
+		}
+		f.log.Warn("control member lost", "member", member, "error", err)
+		select {
+		case <-time.After(redialPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// followMember renews the lease at one member until that fails.
+func (f *follower) followMember(ctx context.Context, member netip.AddrPort) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := rpc.Dial(ctx, member)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := pb.NewDRPCControlClient(conn).Follow(ctx)
+	if err != nil {
+		return &rpc.ConnectionLostError{Addr: member.String(), Cause: err}
+	}
+	s := &session{f: f, member: member, stream: stream, sent: make(map[uint64]time.Time)}
+	return s.run(ctx)
+}
+
+// session is the time that one stream to one member lasts.
+type session struct {
+	f      *follower
+	member netip.AddrPort
+	stream pb.DRPCControl_FollowClient
+	seq    uint64
+	// sent holds the time just before each unanswered renewal was sent.
+	sent map[uint64]time.Time
+}
+
+type received struct {
+	response *pb.FollowResponse
+	err      error
+}
+
+func (s *session) run(ctx context.Context) error {
+	responses := make(chan received)
+	go s.receive(ctx, responses)
+	tick := time.NewTicker(lease.RenewInterval)
+	defer tick.Stop()
+	silence := time.NewTimer(memberSilence)
+	defer silence.Stop()
+	if err := s.renew(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-silence.C:
+			return &SilentMemberError{Addr: s.member.String(), After: memberSilence}
+		case <-tick.C:
+			if err := s.renew(); err != nil {
+				return err
+			}
+		case <-s.f.renewNow:
+			if err := s.renew(); err != nil {
+				return err
+			}
+		case r := <-responses:
+			if r.err != nil {
+				return &rpc.ConnectionLostError{Addr: s.member.String(), Cause: r.err}
+			}
+			leased, err := s.take(r.response)
+			if err != nil {
+				return err
+			}
+			if leased {
+				silence.Reset(memberSilence)
+			}
+		}
+	}
+}
+
+func (s *session) receive(ctx context.Context, out chan<- received) {
+	for {
+		r, err := s.stream.Recv()
+		select {
+		case out <- received{r, err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *session) renew() error {
+	s.seq++
+	s.sent[s.seq] = time.Now()
+	f := s.f
+	err := s.stream.Send(&pb.FollowRequest{
+		Vm:          string(f.vm.Name),
+		Incarnation: f.incarnation,
+		Seq:         s.seq,
+		Applied:     f.board.View().Index,
+		DataCentre:  string(f.vm.DataCentre),
+		RpcAddr:     f.vm.RPC.String(),
+		HttpAddr:    f.vm.HTTP.String(),
+		Leaving:     f.leaving(),
+	})
+	if err != nil {
+		return &rpc.ConnectionLostError{Addr: s.member.String(), Cause: err}
+	}
+	return nil
+}
+
+// take applies a response's records, then extends the lease if the response
+// confirms what is applied. It reports whether the lease was extended.
+func (s *session) take(r *pb.FollowResponse) (bool, error) {
+	if err := s.apply(r); err != nil {
+		return false, err
+	}
+	s.f.onLeader(r.GetLeaderAddr())
+	if r.GetSeq() == 0 {
+		return false, nil
+	}
+	sent, known := s.sent[r.GetSeq()]
+	delete(s.sent, r.GetSeq())
+	if !known || !r.GetConfirmed() || s.f.board.View().Index < r.GetIndex() {
+		return false, nil
+	}
+	age := time.Duration(r.GetConfirmAgeUs()) * time.Microsecond
+	s.f.lease.Extend(sent, age)
+	return true, nil
+}
+
+func (s *session) apply(r *pb.FollowResponse) error {
+	before := s.f.board.View()
+	if r.GetIndex() == before.Index && len(r.GetRecords()) == 0 && !r.GetSnapshot() {
+		return nil
+	}
+	var err error
+	s.f.board.Update(func(v *board.View) { err = applyResponse(v, r) })
+	if err != nil {
+		return err
+	}
+	after := s.f.board.View()
+	s.f.log.Info("records applied", "member", s.member, "from", before.Index, "to", after.Index,
+		"records", len(r.GetRecords()), "snapshot", r.GetSnapshot(), "config", after.ConfigVersion)
+	return nil
+}
--- /dev/null
+++ b/router/pages.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/lease"
+	"github.com/peridotmux/peridotmux/telemetry"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// State is a router's own state as its state page gives it.
+type State struct {
+	VM            topology.VMName `json:"vm"`
+	Incarnation   uint64          `json:"incarnation"`
+	Index         uint64          `json:"index"`
+	ConfigVersion uint64          `json:"config_version"`
+	// LeaseLeftMS is the time left of the lease in milliseconds, 0 without one.
+	LeaseLeftMS int64               `json:"lease_left_ms"`
+	Leaving     bool                `json:"leaving"`
+	Owned       []topology.TargetID `json:"owned"`
+}
+
+func (r *Router) handler() http.Handler {
+	m := mux.NewRouter()
+	r.entry.Register(m)
+	m.Handle(api.PathLive, telemetry.LiveHandler())
+	m.Handle(api.PathReady, telemetry.ReadyHandler(r.unready))
+	m.Handle(api.PathMetrics, r.cfg.Metrics.Handler())
+	m.HandleFunc(api.PathState, r.serveState)
+	return m
+}
+
+// unready tells why the balancer should send no new work here.
+func (r *Router) unready() []telemetry.UnreadyReason {
+	reasons := []telemetry.UnreadyReason{}
+	if r.leaving.Load() {
+		reasons = append(reasons, telemetry.UnreadyDraining)
+	}
+	if r.board.View().Topology == nil {
+		reasons = append(reasons, telemetry.UnreadyNoDeployment)
+	}
+	if !r.lease.Valid(time.Now()) {
+		reasons = append(reasons, telemetry.UnreadyNoLease)
+	}
+	return reasons
+}
+
+func (r *Router) leaseState() telemetry.LeaseState {
+	v := r.board.View()
+	left := time.Until(r.lease.End())
+	return telemetry.LeaseState{
+		Left:          left,
+		Age:           max(0, lease.Duration-left),
+		Index:         v.Index,
+		ConfigVersion: v.ConfigVersion,
+	}
+}
+
+func (r *Router) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(r.State(time.Now()))
+}
+
+// State returns the router's own state at now.
+func (r *Router) State(now time.Time) State {
+	v := r.board.View()
+	s := State{
+		VM:            r.cfg.VM.Name,
+		Incarnation:   r.cfg.Incarnation,
+		Index:         v.Index,
+		ConfigVersion: v.ConfigVersion,
+		LeaseLeftMS:   max(0, r.lease.End().Sub(now).Milliseconds()),
+		Leaving:       r.leaving.Load(),
+		Owned:         []topology.TargetID{},
+	}
+	for id, a := range v.Assignments {
+		if a.Owner == r.cfg.VM.Name {
+			s.Owned = append(s.Owned, id)
+		}
+	}
+	slices.Sort(s.Owned)
+	return s
+}
--- /dev/null
+++ b/trial/router.go
@@ -0,0 +1,93 @@
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+
+	"github.com/peridotmux/peridotmux/router"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/target"
+	"github.com/peridotmux/peridotmux/telemetry"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Router is a running router.
+type Router struct {
+	VM     topology.VM
+	Router *router.Router
+	stop   context.CancelFunc
+	done   chan error
+}
+
+// Stop shuts the router down without cutting a request and returns its
+// failure, if any.
+func (r *Router) Stop() error {
+	r.stop()
+	err := <-r.done
+	r.done <- err
+	return err
+}
+
+func (s *System) startRouters() error {
+	for i := range s.cfg.Routers {
+		r, err := s.newRouter(i)
+		if err != nil {
+			return err
+		}
+		s.Routers = append(s.Routers, r)
+	}
+	return nil
+}
+
+func (s *System) newRouter(i int) (*Router, error) {
+	rpcListener, rpcAddr, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	httpListener, httpAddr, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	cfg := router.Config{
+		VM: topology.VM{
+			Name:       topology.VMName("entry-" + strconv.Itoa(i+1)),
+			DataCentre: s.dataCentre(i),
+			RPC:        rpcAddr,
+			HTTP:       httpAddr,
+		},
+		Control:       s.controlRPC(),
+		Incarnation:   rand.Uint64(),
+		ShutdownGrace: router.DefaultShutdownGrace,
+		Searcher:      target.NewClient(target.Options{}),
+		Logs:          telemetry.NewLogs(s.cfg.LogOutput, s.cfg.Log),
+		Metrics:       metrics,
+		Bounds:        settings.DefaultBounds,
+		RPCListener:   rpcListener,
+		HTTPListener:  httpListener,
+	}
+	if s.cfg.Router != nil {
+		s.cfg.Router(&cfg)
+	}
+	return runRouter(cfg), nil
+}
+
+func runRouter(cfg router.Config) *Router {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Router{VM: cfg.VM, Router: router.New(cfg), stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- r.Router.Run(ctx) }()
+	return r
+}
+
+func (s *System) controlRPC() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range s.Members {
+		out = append(out, m.Settings.VM.RPC)
+	}
+	return out
+}
