--- a/cmd/peridotmux/trial.go
+++ b/cmd/peridotmux/trial.go
@@ -104,7 +104,7 @@
 	out("  export PERIDOTMUX_CONTROL=%s", strings.Join(s.ControlHTTP(), "\n"))
 	out("  peridotmux query --kind %s", s.Deployment.Kinds[0].Name)
 	out("  peridotmux status")
-	out("  peridotmux intent take-out --data-centre %s", s.Deployment.DataCentres[0])
+	out("  peridotmux intent take-out --dc %s", s.Deployment.DataCentres[0])
 	out("Ctrl-C ends it.")
 }
 
