Record queries and targets on the metrics page, refuse unknown paths with a type

Cause: the metrics page of a running router showed only the lease, and an unknown path got a plain text answer (both seen by hand). Change: the entry records answers, refusals and extra sub-requests, the owner the service time, limit and queue of each target; 404 and 405 are refusals.

--- a/api/api.go
+++ b/api/api.go
@@ -127,6 +127,7 @@
 	CodeControlAway    Code = "control-unreachable"
 	CodeInternal       Code = "internal"
 	CodeConflict       Code = "conflict"
+	CodeBadMethod      Code = "bad-method"
 	CodeNotFound       Code = "not-found"
 	CodePlanRefused    Code = "plan-refused"
 	CodeExpired        Code = "expired"
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -19,6 +19,7 @@
 		s.counters.Refusals.Add(1)
 		refusal.RequestID = id
 		s.logRefusal(id, refusal, time.Since(start))
+		s.cfg.Metrics.Refused("", refusal.Code, refusal.Execution)
 		writeRefusal(w, refusal)
 		return
 	}
@@ -116,6 +117,7 @@
 	answer.RequestID = req.id
 	enough := answer.Covered > 0 && float64(answer.Covered) >= req.minCoverage*float64(answer.Asked)
 	s.logQuery(req, sc, answer, enough)
+	s.measure(req, sc, answer, enough)
 	if enough {
 		return answer, nil
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/query"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -52,6 +53,7 @@
 	Owners  Owners
 	Claimer Claimer
 	Log     *slog.Logger
+	Metrics telemetry.Query
 }
 
 // Server answers callers' queries. It is safe for concurrent use.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/target"
+	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -34,6 +35,7 @@
 	Searcher    target.Searcher
 	AskReleased AskReleased
 	Log         *slog.Logger
+	Metrics     telemetry.Owner
 }
 
 // Owner runs the targets that this router owns. It is safe for concurrent use.
@@ -153,6 +155,7 @@
 	}
 	out := o.send(ctx, search)
 	now := time.Now()
+	o.cfg.Metrics.Served(s.group.Name, outcomeText(out), out.Service)
 	change := s.release(got.replica, got.run, out, now)
 	if !out.Ended {
 		o.expireLater(s, got, deadline.Sub(now))
--- a/router/pages.go
+++ b/router/pages.go
@@ -33,6 +33,13 @@
 	m.Handle(api.PathReady, telemetry.ReadyHandler(r.unready))
 	m.Handle(api.PathMetrics, r.cfg.Metrics.Handler())
 	m.HandleFunc(api.PathState, r.serveState)
+	m.NotFoundHandler = telemetry.RefuseHandler(&api.Refusal{
+		Code: api.CodeNotFound, Message: "no such path", Execution: api.NotRun, Status: http.StatusNotFound,
+	})
+	m.MethodNotAllowedHandler = telemetry.RefuseHandler(&api.Refusal{
+		Code: api.CodeBadMethod, Message: "the path takes another method", Execution: api.NotRun,
+		Status: http.StatusMethodNotAllowed,
+	})
 	return m
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -81,6 +81,7 @@
 		Searcher:    cfg.Searcher,
 		AskReleased: r.peers.AskReleased,
 		Log:         cfg.Logs.Part(settings.PartOwner),
+		Metrics:     cfg.Metrics.Owner,
 	})
 	r.peers.local = r.owner
 	r.entry = entry.New(entry.Config{
@@ -90,10 +91,12 @@
 		Owners:  r.peers,
 		Claimer: r.claims,
 		Log:     cfg.Logs.Part(settings.PartEntry),
+		Metrics: cfg.Metrics.Query,
 	})
 	r.follower = r.newFollower()
 	r.http = telemetry.NewServer(r.handler(), cfg.Bounds, cfg.Logs.Part(settings.PartHTTP))
 	cfg.Metrics.Lease.Watch(r.leaseState)
+	cfg.Metrics.Owner.Watch(r.owner.Load)
 	return r
 }
 
--- a/telemetry/server.go
+++ b/telemetry/server.go
@@ -74,6 +74,11 @@
 	writeJSON(w, status, r)
 }
 
+// RefuseHandler answers every request with one refusal.
+func RefuseHandler(r *api.Refusal) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { WriteRefusal(w, r) })
+}
+
 // Recover turns a handler's panic into a log line and a refusal, which can't
 // say that nothing ran. Once an answer is begun it cuts the connection, so that
 // no half of an answer passes for a whole one.
