--- a/internal/capacity/connections.go
+++ b/internal/capacity/connections.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/peridotmux/peridotmux/target"
@@ -43,7 +43,6 @@
 type plainTarget struct {
 	listener countingListener
 	gate     chan struct{}
-	wg       sync.WaitGroup
 }
 
 func newPlainTarget(gate chan struct{}) (*plainTarget, error) {
@@ -95,7 +94,16 @@
 	}
 	b = append(b, target.HeaderProcess+": 1\r\n"+target.HeaderVersions+": 1\r\n"...)
 	b = append(b, "Content-Length: "+strconv.Itoa(answerBytes)+"\r\n\r\n"...)
-	return append(b, make([]byte, answerBytes)...)
+	return append(b, plainBody(req)...)
+}
+
+// plainBody is a report on the health page and a JSON string elsewhere.
+func plainBody(req *http.Request) string {
+	report := `{"process":1,"versions":[1]}`
+	if req.URL.Path == target.PathHealth {
+		return report + strings.Repeat(" ", answerBytes-len(report))
+	}
+	return `"` + strings.Repeat("a", answerBytes-2) + `"`
 }
 
 func (t *plainTarget) close() { _ = t.listener.Close() }
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -17,8 +17,8 @@
 	latencyBar = 160
 	// controlCoreBar bounds control's share of a core at a node, in percent.
 	controlCoreBar = 5
-	// controlMemoryBar bounds control's memory at a node, in MB.
-	controlMemoryBar = 256
+	// controlMemoryBar bounds control's memory at a node, 256 MB, in MiB.
+	controlMemoryBar = 256e6 / (1 << 20)
 	// controlTrafficBar bounds control's traffic at a node, in bytes a second.
 	controlTrafficBar = 27_000
 	// setAsideBar bounds the VMs that only control uses.
@@ -43,6 +43,7 @@
 	OwnersProcessor Slope
 	OwnersMessages  Slope
 	SearchProcessor Slope
+	WholePath       Slope
 	StreamMemory    Slope
 	TargetMemory    Slope
 
@@ -55,6 +56,12 @@
 	WholeBytes       Slope
 	DeploymentBytes  Slope
 
+	LeaderIdle    Slope
+	PushTime      Slope
+	PushProcessor Slope
+	StateMemory   Slope
+	ClaimMemory   Slope
+
 	LogBytes      Slope
 	SnapshotBytes Slope
 	ReplayTime    Slope
--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -20,8 +20,9 @@
 	bodyBytes   = 200
 	// exchangeOwners is the number of owners while the fan-out varies.
 	exchangeOwners = 12
-	// exchangeWorkers is the number of queries at once.
-	exchangeWorkers = 4
+	// exchangeWorkers is the number of queries at once: one, so that a batch
+	// holds sub-requests of one query, as between two routers of very many.
+	exchangeWorkers = 1
 )
 
 type ownerCaller = rpc.Caller[*pb.SubRequest, *pb.SubReply, *pb.SubRequestBatch, *pb.SubReplyBatch]
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -1,7 +1,5 @@
 package main
 
-import "math"
-
 // Point is one measured size.
 type Point struct {
 	X, Y float64
@@ -39,7 +37,7 @@
 	s.PerX = (n*sxy - sx*sy) / spread
 	s.Base = (sy - s.PerX*sx) / n
 	if total := n*syy - sy*sy; total > 0 {
-		s.R2 = math.Pow(n*sxy-sx*sy, 2) / (spread * total)
+		s.R2 = (n*sxy - sx*sy) / spread * (n*sxy - sx*sy) / total
 	}
 }
 
