--- a/owner/load.go
+++ b/owner/load.go
@@ -26,7 +26,7 @@
 			Target:   r.id(),
 			InFlight: len(r.running),
 			Limit:    r.ramp.Limit(),
-			Cold:     !r.ramp.Warm(),
+			Cold:     r.ramp.Limit() < s.group.Slots,
 		})
 	}
 	load.Queues = append(load.Queues, telemetry.ShardQueue{Shard: s.id, Queued: s.queue.length})
