Add a plain load and stand-ins of a whole deployment as processes

Cause: the router's added time and the examples run by hand need a load and targets as separate programs.

--- /dev/null
+++ b/cmd/peridotmux-bench/load.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotmux/peridotmux/bench/plain"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// loadFlags are the flags of a plain load.
+type loadFlags struct {
+	routers []string
+	direct  string
+	kind    string
+	load    plain.Load
+}
+
+func registerLoad(app *kingpin.Application, commands map[string]func() error) {
+	cmd := app.Command("load", "Send queries to all shards, through routers or straight to targets.")
+	f := &loadFlags{}
+	cmd.Flag("router", "HTTP address of a router; may be given several times.").StringsVar(&f.routers)
+	cmd.Flag("direct", "Deployment file; its targets are called without a router.").StringVar(&f.direct)
+	cmd.Flag("kind", "Kind of query.").Required().StringVar(&f.kind)
+	cmd.Flag("rate", "Queries a second.").Default("100").Float64Var(&f.load.Rate)
+	cmd.Flag("duration", "How long.").Default("10s").DurationVar(&f.load.Duration)
+	cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&f.load.Seed)
+	commands[cmd.FullCommand()] = f.run
+}
+
+// run sends the load and prints one JSON object.
+func (f *loadFlags) run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	caller, err := f.caller()
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(plain.Run(ctx, f.load, caller))
+}
+
+func (f *loadFlags) caller() (plain.Caller, error) {
+	kind := topology.KindName(f.kind)
+	if f.direct == "" {
+		if len(f.routers) == 0 {
+			return nil, &NoCalleeError{}
+		}
+		return plain.NewRouters(f.routers, kind), nil
+	}
+	d, err := settings.LoadDeployment(f.direct)
+	if err != nil {
+		return nil, err
+	}
+	return plain.NewDirect(d, kind)
+}
+
+// NoCalleeError says that the flags name nothing to call.
+type NoCalleeError struct{}
+
+// Error describes the failure.
+func (e *NoCalleeError) Error() string { return "either --router or --direct is needed" }
--- a/cmd/peridotmux-bench/main.go
+++ b/cmd/peridotmux-bench/main.go
@@ -20,6 +20,7 @@
 	commands := map[string]func() error{}
 	registerRun(app, commands)
 	registerStandIn(app, commands)
+	registerLoad(app, commands)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
 		app.FatalUsage("%s", err)
--- a/cmd/peridotmux-bench/standin.go
+++ b/cmd/peridotmux-bench/standin.go
@@ -41,6 +41,8 @@
 	cmd.Flag("cold-limit", "Searches that a cold target carries.").Default("1").IntVar(&f.opts.ColdLimit)
 	cmd.Flag("warm-after", "Work after which a cold target is warm.").Default("5s").DurationVar(&f.opts.WarmAfter)
 	cmd.Flag("cold", "Start cold.").BoolVar(&f.opts.Cold)
+	cmd.Flag("median", "Median of the service time.").Default(standin.DefaultMedian.String()).DurationVar(&f.opts.Median)
+	cmd.Flag("sigma", "Sigma of the lognormal service time; 0 for an even one.").Default("0.5").Float64Var(&f.opts.Sigma)
 	cmd.Flag("seed", "Seed of the service times.").Default("1").Uint64Var(&f.opts.Seed)
 	commands[cmd.FullCommand()] = f.run
 }
@@ -107,6 +109,8 @@
 		t := &d.Targets[i]
 		o := standin.ForTarget(t, index.GroupOf(t.Shard))
 		o.Cold = f.opts.Cold
+		o.Median = f.opts.Median
+		o.Sigma = f.opts.Sigma
 		o.Seed = f.opts.Seed + uint64(i) //nolint:gosec // Small and positive.
 		plans = append(plans, planned{t.Addr, o})
 	}
