Bounce sub-requests off slow targets, hedge only late ones, steer admission

Change: searches given up late count in a row against a target; a stalled target is one that answers nothing meanwhile; an owner whose targets all stand out gives the sub-request back at once and the entry asks the other owner (SubRequest.insist when none is left); hedges start at the 98th percentile, latencies count from the first attempt, a hedge that started nowhere is refunded, one purse earns the greater of both shares.

Proved: go test -race ./owner ./query ./entry ./rpc ./target.

--- a/entry/plan.go
+++ b/entry/plan.go
@@ -84,5 +84,5 @@
 		s.learned.Lost(shard, owner, now)
 		return
 	}
-	s.learned.Reply(shard, owner, reply, now)
+	s.learned.Reply(shard, owner, reply, false, now)
 }
--- a/entry/scatter.go
+++ b/entry/scatter.go
@@ -25,6 +25,7 @@
 	req     *request
 	plan    query.Plan
 	gather  *query.Gather
+	usual   query.Quantiles
 	results chan query.Result
 	// done is closed when nothing takes results any more.
 	done    chan struct{}
@@ -55,14 +56,15 @@
 		replies:   make([]query.Result, 0, len(plan.Shards)),
 	}
 	top := s.cfg.Board.View().Topology.Deployment
-	s.budget.Earn(len(plan.Shards), top.HedgeBudget+top.RetryBudget)
+	s.budget.Earn(len(plan.Shards), max(top.HedgeBudget, top.RetryBudget))
+	sc.usual = s.quantiles(plan, now)
 	gather, actions := query.NewGather(query.Options{
 		Policy:      req.policy,
 		MinCoverage: req.minCoverage,
 		Once:        req.once,
 		Start:       now,
 		Deadline:    req.deadline(),
-		Quantiles:   s.quantiles(plan, now),
+		Quantiles:   sc.usual,
 		Budget:      s.budget,
 	}, plan, now)
 	sc.gather = gather
@@ -151,10 +153,14 @@
 		}
 		return
 	}
-	s.learned.Reply(route.Shard, r.Attempt.Owner, r.Reply, now)
+	took := now.Sub(sc.sentAt[keyOf(r.Attempt)])
+	s.learned.Reply(route.Shard, r.Attempt.Owner, r.Reply, took <= sc.usual.P95, now)
 	if r.Reply.GetStatus() == pb.SubStatus_SUB_STATUS_OK {
-		took := now.Sub(sc.sentAt[keyOf(r.Attempt)])
-		sc.latencies[route.Group] = append(sc.latencies[route.Group], took)
+		// Counted from the shard's first attempt: what a hedge cut short was
+		// at least as late.
+		first := keyOf(r.Attempt)
+		first.number = 0
+		sc.latencies[route.Group] = append(sc.latencies[route.Group], now.Sub(sc.sentAt[first]))
 	}
 }
 
@@ -175,6 +181,9 @@
 // do carries out what a step asks for.
 func (sc *scatter) do(ctx context.Context, actions query.Actions) {
 	sc.cancelAll(actions.Cancel)
+	for _, a := range actions.Late {
+		sc.server.learned.NoteLate(sc.plan.Shards[a.Shard].Route.Shard, a.Owner, time.Now())
+	}
 	for _, a := range actions.Send {
 		sc.send(ctx, a)
 	}
@@ -200,6 +209,7 @@
 		Body:         sc.req.body,
 		Once:         sc.req.once,
 		Hedge:        a.Hedge,
+		Insist:       a.Insist,
 	}
 	if a.Avoid != "" {
 		q.Exclude = []string{a.Avoid}
--- a/internal/faketarget/faketarget.go
+++ b/internal/faketarget/faketarget.go
@@ -26,6 +26,9 @@
 	// Carries is the number of searches it carries at once; more are counted as
 	// overload.
 	Carries int
+	// Slots is the number of searches that run at once, 0 for no limit; the
+	// others wait.
+	Slots int
 	// Service gives the time of the next search.
 	Service func() time.Duration
 	// Answer overrides how a search ends, if it returns true.
@@ -38,6 +41,7 @@
 	Started []string
 	// LastStart is when the last search started.
 	LastStart time.Time
+	slots     chan struct{}
 }
 
 // New returns a searcher whose targets are made by newTarget.
@@ -94,6 +98,13 @@
 		out.Status, out.Reason = target.NotStarted, target.ReasonVersionGone
 		return out
 	}
+	slots := f.slotChannel()
+	s.mu.Unlock()
+	if !enter(ctx, slots, q.Deadline) {
+		out.Status, out.Reason = target.NotStarted, target.ReasonCancelled
+		return out
+	}
+	s.mu.Lock()
 	f.begin(q)
 	service, lost := f.Service(), f.Lost
 	s.mu.Unlock()
@@ -101,6 +112,9 @@
 	s.mu.Lock()
 	f.InFlight--
 	s.mu.Unlock()
+	if slots != nil {
+		<-slots
+	}
 	out.Service = time.Since(begun)
 	switch {
 	case lost:
@@ -114,6 +128,34 @@
 	return out
 }
 
+func (f *Target) slotChannel() chan struct{} {
+	if f.slots == nil && f.Slots > 0 {
+		f.slots = make(chan struct{}, f.Slots)
+	}
+	return f.slots
+}
+
+// enter waits for a slot.
+func enter(ctx context.Context, slots chan struct{}, deadline time.Time) bool {
+	if slots == nil {
+		return true
+	}
+	select {
+	case slots <- struct{}{}:
+		return true
+	default:
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 func (f *Target) begin(q target.Search) {
 	f.InFlight++
 	f.MaxInFlight = max(f.MaxInFlight, f.InFlight)
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// stallFactor is how many usual service times a search may run before its
-	// target gets nothing more while others have room.
-	stallFactor = 4.0
+	// stallFactor is how many usual service times a search may run, without any
+	// answer of its target meanwhile, before the target gets nothing more.
+	stallFactor = 3.0
 )
 
 // choose returns the target with a free slot that should run j, or nil if j
@@ -28,7 +28,7 @@
 		switch {
 		case !bad:
 			chosen = better(chosen, r)
-		case r.outlier.due(now) && len(r.running) == 0 && !j.request.GetHedge():
+		case r.probeDue(j, now):
 			probe = better(probe, r)
 		default:
 			last = better(last, r)
@@ -44,6 +44,26 @@
 	return last
 }
 
+// bounces reports whether j should go to another owner at once: all targets
+// here that could run it stand out, and none is due for a probe.
+func (s *shard) bounces(j *job, now time.Time) bool {
+	if j.request.GetInsist() {
+		return false
+	}
+	best := s.bestLatency()
+	for _, r := range s.replicas {
+		if s.eligible(r, j, now) && (!s.judge(r, best, now) || r.probeDue(j, now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// probeDue reports whether j may probe an ejected target.
+func (r *replica) probeDue(j *job, now time.Time) bool {
+	return r.outlier.due(now) && len(r.running) == 0 && !j.request.GetHedge()
+}
+
 func (s *shard) eligible(r *replica, j *job, now time.Time) bool {
 	q := j.request
 	if q.GetHedge() && r.runs(q.GetRequestId()) {
@@ -64,13 +84,14 @@
 	return bad || s.stalled(r, now)
 }
 
-// stalled reports whether a search at r runs far longer than usual.
+// stalled reports whether a search at r runs far longer than usual while r
+// answers nothing else.
 func (s *shard) stalled(r *replica, now time.Time) bool {
 	if s.service == 0 || len(r.running) == 0 {
 		return false
 	}
 	limit := time.Duration(stallFactor * float64(s.service))
-	return now.Sub(r.running[0].started) > limit
+	return now.Sub(r.running[0].started) > limit && now.Sub(r.answeredAt) > limit
 }
 
 // bestLatency returns the least average latency of the usable targets, 0 if
--- a/owner/outlier.go
+++ b/owner/outlier.go
@@ -9,6 +9,10 @@
 	outlierFactor = 4.0
 	// outlierErrors is the number of failures in a row that eject a target.
 	outlierErrors = 3
+	// outlierLates is the number of searches in a row, given up after lateFactor
+	// usual service times, that eject a target.
+	outlierLates = 2
+	lateFactor   = 1.8
 	// probeMin and probeMax bound the time between probes of an ejected target.
 	probeMin = 500 * time.Millisecond
 	probeMax = 4 * time.Second
@@ -19,33 +23,37 @@
 type outlier struct {
 	latency  time.Duration
 	failures int
+	// lates counts searches in a row that were given up late.
+	lates int
 	// probeAt is when the next probe is due, probeGap the time to the one after.
 	probeAt  time.Time
 	probeGap time.Duration
 }
 
-func (o outlier) answered(d time.Duration, now time.Time) outlier {
-	o.failures = 0
+func (o outlier) answered(d time.Duration) outlier {
+	o.failures, o.lates = 0, 0
 	if o.ejectedSince() && d < o.latency/2 {
 		// A probe that is fast again counts fully, so that the target returns.
 		o.latency = d
-		o.probeAt, o.probeGap = time.Time{}, 0
-		return o
+		return o.readmit()
 	}
 	o.latency = average(o.latency, d)
-	_ = now
 	return o
 }
 
-// atLeast takes in a search that was given up after d.
-func (o outlier) atLeast(d time.Duration, _ time.Time) outlier {
+// givenUp takes in a search that was given up after d. How long it would have
+// taken isn't known, so a row of such searches counts, not their length.
+func (o outlier) givenUp(d, usual time.Duration) outlier {
+	if usual > 0 && float64(d) > lateFactor*float64(usual) {
+		o.lates++
+	}
 	if d > o.latency {
 		o.latency = average(o.latency, d)
 	}
 	return o
 }
 
-func (o outlier) failed(time.Time) outlier {
+func (o outlier) failed() outlier {
 	o.failures++
 	return o
 }
@@ -54,7 +62,7 @@
 
 // bad reports whether the target stands out against its best peer.
 func (o outlier) bad(best time.Duration) bool {
-	if o.failures >= outlierErrors {
+	if o.failures >= outlierErrors || o.lates >= outlierLates {
 		return true
 	}
 	return best > 0 && float64(o.latency) > outlierFactor*float64(best)
--- a/owner/replica.go
+++ b/owner/replica.go
@@ -41,6 +41,8 @@
 	// draining is the process number that said that it leaves, 0 if none.
 	draining uint64
 	running  []*running
+	// answeredAt is when the target last answered a search.
+	answeredAt time.Time
 }
 
 // running is one search at a target.
@@ -106,7 +108,7 @@
 }
 
 // observe takes in what a search showed of the target.
-func (r *replica) observe(out target.Outcome, now time.Time) {
+func (r *replica) observe(out target.Outcome, usual time.Duration, now time.Time) {
 	if len(out.Versions) > 0 {
 		r.versions, r.versionsAt = out.Versions, now
 	}
@@ -115,24 +117,25 @@
 	}
 	switch out.Reason {
 	case target.ReasonNone:
+		r.answeredAt = now
 		r.ramp = r.ramp.Step(Served{Process: out.Process, Service: out.Service})
-		r.outlier = r.outlier.answered(out.Service, now)
+		r.outlier = r.outlier.answered(out.Service)
 	case target.ReasonShed:
 		r.ramp = r.ramp.Step(Shed{Process: out.Process})
-		r.outlier = r.outlier.failed(now)
+		r.outlier = r.outlier.failed()
 	case target.ReasonDraining:
 		r.ramp = r.ramp.Step(ProcessSeen{Process: out.Process})
 		r.draining = max(out.Process, 1)
 	case target.ReasonConnect, target.ReasonConnectionLost:
 		r.ramp = r.ramp.Step(ConnectionLost{})
-		r.outlier = r.outlier.failed(now)
+		r.outlier = r.outlier.failed()
 	case target.ReasonDeadline, target.ReasonCancelled:
 		r.ramp = r.ramp.Step(ProcessSeen{Process: out.Process})
-		r.outlier = r.outlier.atLeast(out.Service, now)
+		r.outlier = r.outlier.givenUp(out.Service, usual)
 	case target.ReasonVersionGone:
 		r.ramp = r.ramp.Step(ProcessSeen{Process: out.Process})
 	case target.ReasonBadAnswer, target.ReasonTargetError:
 		r.ramp = r.ramp.Step(ProcessSeen{Process: out.Process})
-		r.outlier = r.outlier.failed(now)
+		r.outlier = r.outlier.failed()
 	}
 }
--- a/owner/report.go
+++ b/owner/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
@@ -12,8 +13,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply.Queued = uint32(s.queue.length) //nolint:gosec // Bounded by the queue's limit.
+	best, now := s.bestLatency(), time.Now()
 	for _, r := range s.replicas {
-		if r.usable() {
+		if r.usable() && !s.judge(r, best, now) {
 			reply.Slots += uint32(r.ramp.Limit()) //nolint:gosec // A small positive number.
 		}
 	}
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -83,6 +83,9 @@
 		s.dropped++
 		return slot{refusal: pb.SubReason_SUB_REASON_DEADLINE}, true
 	}
+	if s.bounces(j, now) {
+		return slot{refusal: pb.SubReason_SUB_REASON_NO_TARGET}, true
+	}
 	if s.queue.length == 0 {
 		if r := s.choose(j, now); r != nil {
 			return slot{replica: r, run: r.begin(j.request.GetRequestId(), now)}, true
@@ -161,7 +164,7 @@
 	if out.Ended {
 		r.end(run)
 	}
-	r.observe(out, now)
+	r.observe(out, s.service, now)
 	if out.Status == target.OK {
 		s.service = average(s.service, out.Service)
 	}
@@ -220,6 +223,9 @@
 		reason, gone := s.hopeless(j, now)
 		j.grant <- slot{refusal: reason, gone: gone}
 	}
+	for _, j := range s.queue.removeIf(func(j *job) bool { return s.bounces(j, now) }) {
+		j.grant <- slot{refusal: pb.SubReason_SUB_REASON_NO_TARGET}
+	}
 	for s.queue.length > 0 {
 		var chosen *replica
 		j := s.queue.take(func(j *job) bool {
--- a/query/budget.go
+++ b/query/budget.go
@@ -4,7 +4,7 @@
 
 const (
 	// budgetBurst bounds the extra sub-requests saved up for later.
-	budgetBurst = 10.0
+	budgetBurst = 50.0
 )
 
 // Budget bounds the extra load of hedges and retries to a share of the
@@ -33,3 +33,10 @@
 	b.tokens--
 	return true
 }
+
+// Refund gives back an extra sub-request that no target started.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+1, budgetBurst)
+}
--- a/query/gather.go
+++ b/query/gather.go
@@ -20,6 +20,8 @@
 	Owner   topology.VMName
 	Version uint64
 	Hedge   bool
+	// Insist is set if every other owner has been tried.
+	Insist bool
 	// Avoid names a target that failed the shard, empty if there is none.
 	Avoid string
 }
@@ -40,6 +42,8 @@
 	Send []Attempt
 	// Cancel lists attempts that are no longer of use.
 	Cancel []Attempt
+	// Late lists attempts that were found late.
+	Late []Attempt
 	// Replan says that the index version is gone and the query should be
 	// planned anew.
 	Replan bool
@@ -69,6 +73,8 @@
 	// arrivals are the times of the round's results, in order.
 	arrivals []time.Time
 	waits    []float64
+	// service is the average service time that replies told of.
+	service float64
 	// Counts are what the log line tells.
 	Counts Counts
 }
@@ -89,6 +95,7 @@
 	attempts []attemptState
 	tried    []int
 	avoid    string
+	insisted bool
 	result   *pb.SubReply
 	missing  api.MissingReason
 	done     bool
@@ -164,6 +171,7 @@
 		Owner:   p.Candidates[pos].Owner,
 		Version: g.plan.Version,
 		Hedge:   hedge,
+		Insist:  c.insisted,
 		Avoid:   c.avoid,
 	}
 	c.tried = append(c.tried, pos)
@@ -191,6 +199,9 @@
 	}
 	g.notePressure(r)
 	c.attempts[r.Attempt.Number].running = false
+	if r.Attempt.Hedge && !r.startedPerhaps() {
+		g.opts.Budget.Refund()
+	}
 	if c.done {
 		return a
 	}
@@ -286,10 +297,11 @@
 	if g.sendTo(r.Attempt.Shard, false, now, a) {
 		return true
 	}
-	if failed == "" {
+	bounced := r.Reply.GetReason() == pb.SubReason_SUB_REASON_NO_TARGET
+	if c.insisted || failed == "" && !bounced {
 		return false
 	}
-	c.tried = c.tried[:0]
+	c.tried, c.insisted = c.tried[:0], true
 	return g.sendTo(r.Attempt.Shard, false, now, a)
 }
 
--- a/query/learned.go
+++ b/query/learned.go
@@ -16,8 +16,9 @@
 	Versions []uint64
 	// At is when the newest of the replies arrived.
 	At time.Time
-	// Sent counts sub-requests sent since then.
-	Sent int
+	// Late is when a sub-request there was last found late, zero once a reply
+	// came in the usual time.
+	Late time.Time
 	// Failed is when the owner last couldn't be reached or had no lease.
 	Failed time.Time
 }
@@ -73,16 +74,18 @@
 	return *s.owner(owner)
 }
 
-// Sent counts a sub-request that goes to an owner.
-func (l *Learned) Sent(id topology.ShardID, owner topology.VMName) {
+// NoteLate notes that a sub-request at an owner is late.
+func (l *Learned) NoteLate(id topology.ShardID, owner topology.VMName, now time.Time) {
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.owner(owner).Sent++
+	s.owner(owner).Late = now
 }
 
-// Reply takes in a reply of an owner.
-func (l *Learned) Reply(id topology.ShardID, owner topology.VMName, r *pb.SubReply, now time.Time) {
+// Reply takes in a reply of an owner. Usual says that it came in the usual time.
+func (l *Learned) Reply(
+	id topology.ShardID, owner topology.VMName, r *pb.SubReply, usual bool, now time.Time,
+) {
 	s := l.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +94,10 @@
 		o.Failed = now
 		return
 	}
-	o.Queued, o.Slots, o.At, o.Sent = int(r.GetQueued()), int(r.GetSlots()), now, 0
+	o.Queued, o.Slots, o.At = int(r.GetQueued()), int(r.GetSlots()), now
+	if usual && r.GetStatus() == pb.SubStatus_SUB_STATUS_OK {
+		o.Late = time.Time{}
+	}
 	o.Versions = r.GetVersions()
 	o.Failed = time.Time{}
 }
--- a/query/plan.go
+++ b/query/plan.go
@@ -136,6 +136,9 @@
 		if i > 0 {
 			load = load*firstBias + tieBreak
 		}
+		if now.Sub(c.State.Late) < lateFor {
+			load += lateLoad
+		}
 		if now.Sub(c.State.Failed) < failedFor {
 			load += failedLoad
 		}
@@ -149,6 +152,10 @@
 const (
 	// tieBreak prefers the first owner when nothing waits anywhere.
 	tieBreak = 0.25
+	// lateFor is how long a late sub-request counts against an owner, lateLoad
+	// how much.
+	lateFor  = time.Second
+	lateLoad = 2.0
 	// failedLoad puts owners that failed of late behind all others.
 	failedLoad = 1e6
 )
--- a/query/pressure.go
+++ b/query/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
@@ -26,10 +27,21 @@
 	if slots == 0 {
 		return
 	}
-	wait := float64(r.Reply.GetQueued()) / slots * float64(g.opts.Quantiles.P50)
+	g.service = smooth(g.service, float64(r.Reply.GetServiceUs())*float64(time.Microsecond))
+	wait := float64(r.Reply.GetQueued()) / slots * g.service
 	g.waits = append(g.waits, wait/float64(g.opts.Deadline.Sub(g.opts.Start)))
 }
 
+// serviceShare weighs a new sample in a query's average service time.
+const serviceShare = 0.2
+
+func smooth(average, sample float64) float64 {
+	if average == 0 || sample == 0 {
+		return max(average, sample)
+	}
+	return average + serviceShare*(sample-average)
+}
+
 // Pressure returns how long the owners' queues are for the query, as a share
 // of its time.
 func (g *Gather) Pressure() float64 {
--- a/query/wait.go
+++ b/query/wait.go
@@ -8,13 +8,16 @@
 )
 
 const (
-	// hedgeFactor is how late, against the usual 95th percentile, a shard must
+	// hedgeFactor is how late, against the usual 98th percentile, a shard must
 	// be before it is hedged.
 	hedgeFactor = 1.1
 	// peerFactor is how late a shard must be against the query's median shard.
 	peerFactor = 1.5
 	// peerShare is the share of the query's shards that must have answered.
 	peerShare = 0.5
+	// mostShare and mostFactor decide while no usual latencies are known.
+	mostShare  = 0.8
+	mostFactor = 2.5
 	// lateShare is the share of late shards above which lateness is no matter
 	// of single targets.
 	lateShare = 0.35
@@ -23,6 +26,8 @@
 	// giveUpFactor is how late, against the usual 99th percentile, the rest
 	// must be before a query of the latency policy goes without it.
 	giveUpFactor = 4.0
+	// minLookGap bounds the time between two looks from below.
+	minLookGap = 5 * time.Millisecond
 	// idleWait is the time to the next look when nothing else is due.
 	idleWait = 250 * time.Millisecond
 )
@@ -39,29 +44,43 @@
 		return a, at
 	}
 	if float64(g.open) > max(1, lateShare*float64(len(g.cells))) {
-		return a, now.Add(g.opts.Quantiles.P50 / 2)
+		return a, now.Add(g.lookGap())
 	}
 	for i := range g.cells {
 		g.hedge(i, now, &a)
 	}
-	return a, now.Add(g.opts.Quantiles.P50)
+	return a, now.Add(g.lookGap())
+}
+
+// lookGap returns the time between two looks at late shards.
+func (g *Gather) lookGap() time.Duration {
+	return max(g.opts.Quantiles.P50/2, minLookGap)
 }
 
 // hedgeAt returns when shards that haven't answered are late, zero if unknown:
-// past the usual 95th percentile, and late against the query's other shards.
+// past the usual 98th percentile, and late against the query's other shards.
 func (g *Gather) hedgeAt() time.Time {
+	start := g.sentAt()
 	q := g.opts.Quantiles
 	if q.P95 == 0 {
-		return time.Time{}
+		return g.peersOnly(start)
 	}
-	after := max(time.Duration(hedgeFactor*float64(q.P95)), hedgeFloor)
-	start := g.sentAt()
-	if m := g.median(start); m > 0 {
-		after = max(after, time.Duration(peerFactor*float64(m)))
+	after := max(time.Duration(hedgeFactor*float64(q.P98)), hedgeFloor)
+	if m := g.arrival(peerShare, start); m > 0 {
+		after = max(after, time.Duration(peerFactor*float64(min(m, q.P95))))
 	}
 	return start.Add(after)
 }
 
+// peersOnly returns when shards are late against the query's others alone.
+func (g *Gather) peersOnly(start time.Time) time.Time {
+	m := g.arrival(mostShare, start)
+	if m == 0 {
+		return time.Time{}
+	}
+	return start.Add(max(time.Duration(mostFactor*float64(m)), hedgeFloor))
+}
+
 // sentAt returns when the first sub-request of the round was sent.
 func (g *Gather) sentAt() time.Time {
 	for i := range g.cells {
@@ -72,14 +91,14 @@
 	return g.opts.Start
 }
 
-// median returns how long the query's median shard took, 0 if too few have
-// answered.
-func (g *Gather) median(start time.Time) time.Duration {
-	need := int(peerShare * float64(len(g.cells)))
+// arrival returns how long the given share of the query's shards took to
+// answer, 0 if fewer have answered.
+func (g *Gather) arrival(share float64, start time.Time) time.Duration {
+	need := int(share * float64(len(g.cells)))
 	if need == 0 || len(g.arrivals) < need {
 		return 0
 	}
-	return min(g.arrivals[need-1].Sub(start), g.opts.Quantiles.P95)
+	return g.arrivals[need-1].Sub(start)
 }
 
 // hedge sends a second attempt of a late shard to another owner or target,
@@ -89,6 +108,7 @@
 	if c.done || len(c.attempts) != 1 || !c.attempts[0].running {
 		return
 	}
+	a.Late = append(a.Late, c.attempts[0].attempt)
 	if len(g.plan.Shards[i].Candidates) == 0 || !g.opts.Budget.Spend() {
 		return
 	}
