Let work start again after a pause made all answers look slow

Cause: an owner drops what can't end in time by the usual service time. After the router was frozen for 8 s under load every answer in flight counted as 8 s, the usual time passed every deadline, nothing started, and so no answer ever corrected it. Ruled out: leaked slots (in_flight was 0 on the metrics page), the lease (fresh), the ramp (limits of 8 to 48). Change: the usual time halves every 250 ms in which no answer comes. TestWorkStartsAgainAfterAPause fails with a half-life of 250 h (SUB_REASON_DEADLINE for good).

--- a/owner/choose.go
+++ b/owner/choose.go
@@ -87,10 +87,11 @@
 // stalled reports whether a search at r runs far longer than usual while r
 // answers nothing else.
 func (s *shard) stalled(r *replica, now time.Time) bool {
-	if s.service == 0 || len(r.running) == 0 {
+	service := s.service.at(now)
+	if service == 0 || len(r.running) == 0 {
 		return false
 	}
-	limit := time.Duration(stallFactor * float64(s.service))
+	limit := time.Duration(stallFactor * float64(service))
 	return now.Sub(r.running[0].started) > limit && now.Sub(r.answeredAt) > limit
 }
 
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -51,7 +51,7 @@
 	replicas []*replica
 	queue    fairQueue
 	// service is the usual service time over all targets.
-	service time.Duration
+	service usual
 	// dropped counts jobs that were dropped because they couldn't end in time.
 	dropped uint64
 }
@@ -141,7 +141,7 @@
 
 // tooLate reports whether j can't be expected to end in time if it starts now.
 func (s *shard) tooLate(j *job, now time.Time) bool {
-	need := time.Duration(startShare * float64(s.service))
+	need := time.Duration(startShare * float64(s.service.at(now)))
 	return !now.Add(need).Before(j.deadline)
 }
 
@@ -164,9 +164,9 @@
 	if out.Ended {
 		r.end(run)
 	}
-	r.observe(out, s.service, now)
+	r.observe(out, s.service.at(now), now)
 	if out.Status == target.OK {
-		s.service = average(s.service, out.Service)
+		s.service.add(out.Service, now)
 	}
 	s.dispatchLocked(now)
 	return RampChange{Before: before, After: r.ramp.Limit()}
