--- a/bench/errors.go
+++ b/bench/errors.go
@@ -17,3 +17,9 @@
 
 // Error implements error.
 func (e *StartError) Error() string { return "policy " + e.Policy + " didn't start: " + e.What }
+
+// IntentError says that an operator's intent wasn't planned.
+type IntentError struct{ Kind, State string }
+
+// Error implements error.
+func (e *IntentError) Error() string { return "intent " + e.Kind + " is " + e.State }
--- a/bench/report.go
+++ b/bench/report.go
@@ -113,7 +113,7 @@
 	case PolicyStatic:
 		return NewStatic(seed), nil
 	case PolicyProduct:
-		return nil, &NotBuiltError{What: "policy", Name: name}
+		return NewProduct(), nil
 	}
 	return nil, &UnknownError{What: "policy", Name: name}
 }
--- a/trial/member.go
+++ b/trial/member.go
@@ -56,6 +56,9 @@
 		if err != nil {
 			return err
 		}
+		if s.cfg.Member != nil {
+			s.cfg.Member(cfg)
+		}
 		s.Members = append(s.Members, s.runMember(cfg, rpcListeners[i], httpListeners[i]))
 	}
 	return nil
--- a/trial/router.go
+++ b/trial/router.go
@@ -19,6 +19,14 @@
 	Router *router.Router
 	stop   context.CancelFunc
 	done   chan error
+	kill   func()
+}
+
+// Kill ends the router at once, as a lost VM does: its sockets close and
+// nothing is handed over. Its searcher is the caller's to end.
+func (r *Router) Kill() {
+	r.kill()
+	_ = r.Stop()
 }
 
 // Stop shuts the router down without cutting a request and returns its
@@ -41,6 +49,17 @@
 	return nil
 }
 
+// RestartRouter starts router i again, on a VM of the same name, after Kill or
+// Stop.
+func (s *System) RestartRouter(i int) error {
+	r, err := s.newRouter(i)
+	if err != nil {
+		return err
+	}
+	s.Routers[i] = r
+	return nil
+}
+
 func (s *System) newRouter(i int) (*Router, error) {
 	rpcListener, rpcAddr, err := listen()
 	if err != nil {
@@ -79,7 +98,13 @@
 
 func runRouter(cfg router.Config) *Router {
 	ctx, stop := context.WithCancel(context.Background())
+	rpcSockets, httpSockets := newSockets(cfg.RPCListener), newSockets(cfg.HTTPListener)
+	cfg.RPCListener, cfg.HTTPListener = rpcSockets, httpSockets
 	r := &Router{VM: cfg.VM, Router: router.New(cfg), stop: stop, done: make(chan error, 1)}
+	r.kill = func() {
+		httpSockets.closeAll()
+		rpcSockets.closeAll()
+	}
 	go func() { r.done <- r.Router.Run(ctx) }()
 	return r
 }
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -29,6 +29,9 @@
 type Config struct {
 	// Deployment is the configuration; its target addresses are replaced.
 	Deployment *topology.Deployment
+	// External says that the targets run elsewhere, at the deployment's
+	// addresses.
+	External bool
 	// Members and Routers count the processes of each role.
 	Members, Routers int
 	// DataDir is an existing folder for the members' data folders.
@@ -40,6 +43,8 @@
 	Standin func(t *topology.Target, o *standin.Options)
 	// Router changes the configuration of a router; may be nil.
 	Router func(c *router.Config)
+	// Member changes the settings of a control member; may be nil.
+	Member func(c *settings.Control)
 }
 
 // System is a running trial.
@@ -69,7 +74,9 @@
 		cfg.LogOutput = io.Discard
 	}
 	s := &System{cfg: cfg, Targets: make(map[topology.TargetID]*standin.Target)}
-	if err := s.startTargets(); err != nil {
+	if cfg.External {
+		s.Deployment = cfg.Deployment
+	} else if err := s.startTargets(); err != nil {
 		return nil, errors.Join(err, s.Stop())
 	}
 	if err := s.startMembers(); err != nil {
@@ -155,6 +162,15 @@
 	return out
 }
 
+// RouterHTTP lists the routers' addresses for callers.
+func (s *System) RouterHTTP() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, r := range s.Routers {
+		out = append(out, r.VM.HTTP)
+	}
+	return out
+}
+
 // Stop ends everything at once and returns the failures met.
 func (s *System) Stop() error {
 	var wg sync.WaitGroup
