--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -86,16 +86,33 @@
 	client  *adminclient.Client
 }
 
+const (
+	// firstPort and lastPort bound the ports of the processes. They lie under
+	// the range from which the system takes ports for outgoing connections,
+	// which may take any of that range at any time.
+	firstPort = 12000
+	lastPort  = 28000
+)
+
+// nextPort is the port to try next. Test processes begin at different ones.
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
+// freeAddrs returns addresses on loopback that nobody listens on.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for tries := 0; len(out) < n; tries++ {
+		if tries > lastPort-firstPort {
+			t.Fatal("no free ports")
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			out = append(out, addr)
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
 	}
 	return out
 }
@@ -121,7 +138,7 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 		if t.Failed() {
-			t.Log(tail(log.Name()))
+			t.Logf("%s ended with %v; its log ends with %s", name, p.cmd.ProcessState, tail(log.Name()))
 		}
 	})
 	return p
@@ -129,7 +146,7 @@
 
 func tail(path string) string {
 	data, _ := os.ReadFile(path)
-	const most = 3000
+	const most = 1500
 	if len(data) > most {
 		data = data[len(data)-most:]
 	}
