--- a/entry/scatter.go
+++ b/entry/scatter.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/query"
-	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
@@ -251,12 +250,10 @@
 }
 
 // sentDespite reports whether a call that failed may have been handed over.
+// Errors that know better have a method NotSent.
 func sentDespite(err error) bool {
-	var lost *rpc.ConnectionLostError
-	if errors.As(err, &lost) {
-		return lost.Sent
-	}
-	return true
+	var known interface{ NotSent() bool }
+	return !errors.As(err, &known) || !known.NotSent()
 }
 
 // own returns the reply if it belongs to the sub-request and is JSON, else one that says
--- a/entry/server.go
+++ b/entry/server.go
@@ -25,8 +25,8 @@
 	"github.com/peridotmux/peridotmux/topology"
 )
 
-// Owners hands sub-requests to the owners of targets. An error is a
-// *rpc.ConnectionLostError or the context's.
+// Owners hands sub-requests to the owners of targets. An error that certainly
+// knows that nothing was handed over has a method NotSent that returns true.
 type Owners interface {
 	Call(ctx context.Context, owner topology.VMName, q *pb.SubRequest) (*pb.SubReply, error)
 }
--- a/router/peers.go
+++ b/router/peers.go
@@ -19,6 +19,9 @@
 // Error describes the failure.
 func (e *UnknownRouterError) Error() string { return "no live router " + string(e.VM) }
 
+// NotSent says that nothing was handed over.
+func (*UnknownRouterError) NotSent() bool { return true }
+
 // localOwner is the owner in this process.
 type localOwner interface {
 	Do(ctx context.Context, q *pb.SubRequest) *pb.SubReply
--- a/rpc/conn.go
+++ b/rpc/conn.go
@@ -35,6 +35,9 @@
 	return "connection to " + e.Addr + " lost: " + e.Cause.Error()
 }
 
+// NotSent says that nothing was handed over.
+func (e *ConnectionLostError) NotSent() bool { return !e.Sent }
+
 // Unwrap returns the cause.
 func (e *ConnectionLostError) Unwrap() error { return e.Cause }
 
--- a/rpc/link.go
+++ b/rpc/link.go
@@ -28,6 +28,9 @@
 // Error describes the failure.
 func (e *BackoffError) Error() string { return e.Addr + " was out of reach a moment ago" }
 
+// NotSent says that nothing was handed over.
+func (*BackoffError) NotSent() bool { return true }
+
 // Link is a connection for batched calls to one process. It dials when a call
 // needs it, and again after the connection was lost. It is safe for concurrent
 // use.
