Judge stalls by the usual time as it was, ramp with less margin

Cause: the usual service time that halves without answers (for the check before a start) also judged stalls, so that on an idle shard each running search looked stalled at once. TestIdleShardHasNoStalledTarget. Change: only the check before a start uses the halved time.

--- a/owner/choose.go
+++ b/owner/choose.go
@@ -87,7 +87,7 @@
 // stalled reports whether a search at r runs far longer than usual while r
 // answers nothing else.
 func (s *shard) stalled(r *replica, now time.Time) bool {
-	service := s.service.at(now)
+	service := s.service.value
 	if service == 0 || len(r.running) == 0 {
 		return false
 	}
--- a/owner/ramp.go
+++ b/owner/ramp.go
@@ -5,7 +5,7 @@
 const (
 	// warmMargin multiplies the work that proves a target warm, because the
 	// owner's measure of work includes the time on the network.
-	warmMargin = 1.5
+	warmMargin = 1.3
 	// bandFactor is how far the recent latency may rise over the usual one.
 	bandFactor = 3.0
 	// recentShare and usualShare weigh a new sample in the two averages.
--- a/owner/shard.go
+++ b/owner/shard.go
@@ -164,7 +164,7 @@
 	if out.Ended {
 		r.end(run)
 	}
-	r.observe(out, s.service.at(now), now)
+	r.observe(out, s.service.value, now)
 	if out.Status == target.OK {
 		s.service.add(out.Service, now)
 	}
--- a/owner/usual_test.go
+++ b/owner/usual_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/faketarget"
+	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
@@ -55,3 +56,20 @@
 		t.Errorf("got %v, want %v", got, service)
 	}
 }
+
+// TestIdleShardHasNoStalledTarget asks one replica twice at once after a pause
+// without any query.
+func TestIdleShardHasNoStalledTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, two, faketarget.Steady(service, 3))
+		f.assign("r1", 20)
+		time.Sleep(lease.Duration)
+		f.load(30, []topology.VMName{"r1"}, time.Now().Add(2*time.Second))
+		time.Sleep(10 * time.Second)
+		go f.ask("r1", "g/000", 400*time.Millisecond)
+		time.Sleep(service / 2)
+		if r := f.ask("r1", "g/000", 400*time.Millisecond); r.GetStatus() != pb.SubStatus_SUB_STATUS_OK {
+			t.Errorf("the second search got %v", r)
+		}
+	})
+}
