--- a/lease/lease.go
+++ b/lease/lease.go
@@ -35,13 +35,17 @@
 }
 
 // Extend moves the end of the lease to what a renewal that was sent at sent and
-// answered with a confirmation of the given age allows. It never shortens it.
-func (l *Lease) Extend(sent time.Time, age time.Duration) {
+// answered with a confirmation of the given age allows. It never shortens it, and
+// reports whether it made it longer.
+func (l *Lease) Extend(sent time.Time, age time.Duration) bool {
 	end := int64(sent.Sub(l.base) + Duration - MaxDrift - age)
 	for {
 		old := l.end.Load()
-		if end <= old || l.end.CompareAndSwap(old, end) {
-			return
+		if end <= old {
+			return false
+		}
+		if l.end.CompareAndSwap(old, end) {
+			return true
 		}
 	}
 }
--- a/router/follow.go
+++ b/router/follow.go
@@ -182,7 +182,7 @@
 }
 
 // take applies a response's records, then extends the lease if the response
-// confirms what is applied. It reports whether the lease was extended.
+// confirms what is applied. It reports whether that gave a lease of use.
 func (s *session) take(r *pb.FollowResponse) (bool, error) {
 	if err := s.apply(r); err != nil {
 		return false, err
@@ -197,8 +197,8 @@
 		return false, nil
 	}
 	age := time.Duration(r.GetConfirmAgeUs()) * time.Microsecond
-	s.f.lease.Extend(sent, age)
-	return true, nil
+	longer := s.f.lease.Extend(sent, age)
+	return longer && s.f.lease.Valid(time.Now()), nil
 }
 
 func (s *session) apply(r *pb.FollowResponse) error {
