--- a/control/state/routers.go
+++ b/control/state/routers.go
@@ -48,12 +48,14 @@
 		if s.view.Topology == nil || s.view.Topology.Target(m.Target) == nil {
 			continue
 		}
-		old := s.view.Assignments[m.Target]
-		if old.Owner == m.Owner {
+		key := rpc.KeyAssignment + string(m.Target)
+		// The record, not the view, since an earlier move of this entry counts.
+		old := s.records.records[key].GetAssignment().GetOwner()
+		if old == string(m.Owner) {
 			continue
 		}
-		s.put(&pb.Record{Key: rpc.KeyAssignment + string(m.Target), Value: &pb.Record_Assignment{
-			Assignment: &pb.AssignmentRecord{Owner: string(m.Owner), Previous: string(old.Owner)},
+		s.put(&pb.Record{Key: key, Value: &pb.Record_Assignment{
+			Assignment: &pb.AssignmentRecord{Owner: string(m.Owner), Previous: old},
 		}})
 	}
 }
