--- a/rpc/caller.go
+++ b/rpc/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 )
 
@@ -9,7 +10,7 @@
 	// maxBatch bounds the number of messages in one batch.
 	maxBatch = 512
 	// sendQueue is the number of messages that wait for the sender.
-	sendQueue = 4096
+	sendQueue = 512
 )
 
 // BatchStream is one end of a two-way stream of batches.
@@ -147,6 +148,7 @@
 	for {
 		select {
 		case first := <-c.send:
+			runtime.Gosched() // Others who are about to call join the batch.
 			if err := c.stream.Send(c.codec.PackRequests(c.collect(first))); err != nil {
 				c.fail(err)
 				return
