Move a shard's targets together, and even shares out by swaps

Cause: moves of one target a shard and tick went back and forth between two placements (seen: 6 routers, 25 shards of 5, a router added; 3 moves a tick for ever), and two data centres of equal size left a router with 22 targets where the mean was 16.7. Change: a shard's moves go together within the budget; balancing runs only once no other move is left, stops at its budget, and may swap a shard's owners. Ruled out: remembering a direction of each move (more state for the same end).

--- a/control/placement/balance.go
+++ b/control/placement/balance.go
@@ -1,25 +1,38 @@
 package placement
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 )
 
-// balance moves roles from routers that own more than the limit, or that own
-// far more than the router with the least, until the shares are even enough.
+// balance changes roles of routers that own more than the limit, or far more
+// than the router with the least, until the shares are even enough or the
+// budget is spent. Each change makes the shares more even, so it comes to an
+// end; hence it stops at the budget, in place of planning more than is done.
 func (p *placer) balance(shards []Shard, all []roles) {
 	if len(p.usable) < 2 {
 		return
 	}
 	byRouter := p.rolesByRouter(all)
 	full := make(map[int]bool)
-	for range len(shards) {
+	// The first change may be larger than the budget.
+	room := math.MaxInt
+	for room > 0 {
 		from, to := p.extremes(full)
 		if from < 0 || !p.uneven(from, to) {
 			return
 		}
-		if !p.shift(shards, all, byRouter, from, to) {
+		n := p.shift(shards, all, byRouter, from, to, room)
+		if n == 0 {
+			n = p.swap(shards, all, byRouter, from, room)
+		}
+		if n == 0 {
 			full[from] = true
 		}
+		if n > 0 {
+			room = min(room, p.in.Budget) - n
+		}
 	}
 }
 
@@ -71,12 +84,12 @@
 	return float64(total) / float64(len(p.usable))
 }
 
-// shift moves the role of one shard that suits the router to best. It reports
-// false if no role can be moved there.
-func (p *placer) shift(shards []Shard, all []roles, byRouter [][]roleRef, from, to int) bool {
+// shift moves the role of one shard that suits the router to best. It returns
+// the number of targets, 0 if no role can be moved there.
+func (p *placer) shift(shards []Shard, all []roles, byRouter [][]roleRef, from, to, room int) int {
 	best, bestScore := -1, uint64(0)
 	for i, ref := range byRouter[from] {
-		if !p.movable(shards, all, ref, from, to) {
+		if p.size(shards, ref) > room || !p.movable(shards, all, ref, from, to) {
 			continue
 		}
 		score := p.score(xxhash.Sum64String(string(shards[ref.shard].ID)), to)
@@ -85,7 +98,7 @@
 		}
 	}
 	if best < 0 {
-		return false
+		return 0
 	}
 	ref := byRouter[from][best]
 	byRouter[from] = append(byRouter[from][:best], byRouter[from][best+1:]...)
@@ -98,7 +111,41 @@
 	} else {
 		all[ref.shard].first = to
 	}
-	return true
+	return n
+}
+
+// swap makes the router the second owner of a shard whose first it is, where
+// the other owner has the least. It returns the number of targets, 0 if no swap
+// helps. Swaps even out data centres between which no role can move.
+func (p *placer) swap(shards []Shard, all []roles, byRouter [][]roleRef, from, room int) int {
+	best, least := -1, 0
+	for i, ref := range byRouter[from] {
+		other := all[ref.shard].second
+		if ref.second || other < 0 {
+			continue
+		}
+		gain := p.size(shards, ref) - p.size(shards, roleRef{ref.shard, true})
+		helps := gain > 0 && gain <= room && p.owned[other]+gain < p.owned[from]
+		if helps && (best < 0 || p.owned[other] < least) {
+			best, least = i, p.owned[other]
+		}
+	}
+	if best < 0 {
+		return 0
+	}
+	ref := byRouter[from][best]
+	r := &all[ref.shard]
+	gain := p.size(shards, ref) - p.size(shards, roleRef{ref.shard, true})
+	p.owned[r.first] -= gain
+	p.owned[r.second] += gain
+	byRouter[from][best].second = true
+	for i, o := range byRouter[r.second] {
+		if o.shard == ref.shard {
+			byRouter[r.second][i].second = false
+		}
+	}
+	r.first, r.second = r.second, r.first
+	return gain
 }
 
 // movable reports whether a move of the role makes the shares more even and
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,8 +73,9 @@
 	Reason Reason
 }
 
-// Next returns the moves to make now: all that are urgent, and as many others
-// as the budget allows, one a shard. Without a usable router there are none.
+// Next returns the moves to make now: all that are urgent, and the others of as
+// many whole shards as the budget allows, one at least. Without a usable router
+// there are none.
 func Next(in Input) []Move {
 	p := newPlacer(in)
 	if len(p.usable) == 0 {
@@ -83,16 +85,25 @@
 	for i := range in.Shards {
 		roles[i] = p.choose(&in.Shards[i])
 	}
+	if moves := p.moves(roles, in.Budget); len(moves) > 0 {
+		return moves
+	}
 	p.balance(in.Shards, roles)
+	return p.moves(roles, math.MaxInt)
+}
+
+// moves deals all shards' targets to their owners. A shard's moves go together:
+// half of them would look like another placement, and might be taken back.
+func (p *placer) moves(want []roles, budget int) []Move {
 	var urgent, others []Move
-	for i := range in.Shards {
-		u, o := p.deal(&in.Shards[i], roles[i])
+	for i := range p.in.Shards {
+		u, o := p.deal(&p.in.Shards[i], want[i])
 		urgent = append(urgent, u...)
-		if len(u) == 0 && len(o) > 0 {
-			others = append(others, o[0])
+		if len(u) == 0 && (len(others) == 0 || len(others)+len(o) <= budget) {
+			others = append(others, o...)
 		}
 	}
-	return append(urgent, others[:min(len(others), in.Budget)]...)
+	return append(urgent, others...)
 }
 
 // FirstShare returns how many of n targets the first owner holds.
--- a/control/service/controllers.go
+++ b/control/service/controllers.go
@@ -21,6 +21,8 @@
 // facts is what controllers decide on.
 type facts struct {
 	view *board.View
+	// recordsIndex is an index up to which view has all records.
+	recordsIndex uint64
 	// now is the monotonic time, and the wall clock for return times.
 	now time.Time
 	// leading is when this member began to lead.
@@ -85,13 +87,17 @@
 }
 
 func (s *Service) facts(leading time.Time) *facts {
+	// The index is taken first: the view may be newer, but not older.
+	newest := s.state.RecordsIndex()
 	f := &facts{
-		view:      s.state.View(),
-		now:       time.Now(),
-		leading:   leading,
-		routers:   s.reports.Routers(),
-		unsettled: s.state.Unsettled(),
-		logger:    s.logger,
+		view: s.state.View(),
+
+		recordsIndex: newest,
+		now:          time.Now(),
+		leading:      leading,
+		routers:      s.reports.Routers(),
+		unsettled:    s.state.Unsettled(),
+		logger:       s.logger,
 	}
 	f.planExpires, _ = s.state.PlanExpires()
 	return f
--- a/control/service/placer.go
+++ b/control/service/placer.go
@@ -23,6 +23,8 @@
 type placer struct {
 	routers int
 	since   time.Time
+	// settledAt is the index of the records that needed no moves.
+	settledAt uint64
 }
 
 func (p *placer) decide(f *facts) []state.Command {
@@ -36,8 +38,12 @@
 	if len(f.view.Assignments) == 0 && f.now.Sub(p.since) < gatherTime {
 		return nil
 	}
+	if p.settledAt == f.recordsIndex {
+		return nil
+	}
 	moves := placement.Next(placementInput(f.view))
 	if len(moves) == 0 {
+		p.settledAt = f.recordsIndex
 		return nil
 	}
 	c := state.Command{Assign: make([]state.Assign, len(moves))}
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -34,7 +34,6 @@
 	sent     []state.Command
 	plans    []string
 	bases    []uint64
-	intents  []string
 	followed map[string]*pb.Record
 	applied  uint64
 }
