--- a/consensus/group/errors.go
+++ b/consensus/group/errors.go
@@ -1,5 +1,7 @@
 package group
 
+import "github.com/peridotmux/peridotmux/control"
+
 // Error is a failure without details.
 type Error string
 
@@ -27,15 +29,7 @@
 func (e *ConfigError) Error() string { return "consensus group configuration: " + e.What }
 
 // NotAppendedError says that a proposal was given up before it was appended.
-type NotAppendedError struct {
-	Cause error
-}
-
-// Error describes the failure.
-func (e *NotAppendedError) Error() string { return "nothing was appended: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotAppendedError) Unwrap() error { return e.Cause }
+type NotAppendedError = control.NotAppendedError
 
 // TooLargeError says that a proposal is too large.
 type TooLargeError struct {
--- a/control/admin/intents.go
+++ b/control/admin/intents.go
@@ -90,6 +90,10 @@
 		f.Leader = h.httpAddr(notLeader.LeaderAddr)
 		return f
 	}
+	var notAppended *control.NotAppendedError
+	if errors.As(err, &notAppended) {
+		return refusal(api.CodeControlAway, err.Error())
+	}
 	return unknownOutcome(err)
 }
 
--- a/control/admin/members.go
+++ b/control/admin/members.go
@@ -23,17 +23,17 @@
 		for _, m := range h.c.Members.Members() {
 			out = append(out, api.MemberStatus{
 				ID: m.ID, Addr: m.Addr, Learner: m.Learner, Applied: m.Match,
-				Healthy: m.Active, Leader: m.Addr == leader,
-			})
-		}
-	} else {
-		seen := h.c.Reports.Members(now)
-		for _, p := range h.c.Peers {
-			m := seen[p.ID]
-			out = append(out, api.MemberStatus{
-				ID: p.ID, Addr: p.RPC, Applied: m.Applied, Healthy: m.Healthy, Leader: p.RPC == leader,
+				Healthy: m.Active, Leader: m.Addr == leader, SafeToLose: m.SafeToLose,
 			})
 		}
+		return out
+	}
+	seen := h.c.Reports.Members(now)
+	for _, p := range h.c.Peers {
+		m := seen[p.ID]
+		out = append(out, api.MemberStatus{
+			ID: p.ID, Addr: p.RPC, Applied: m.Applied, Healthy: m.Healthy, Leader: p.RPC == leader,
+		})
 	}
 	markSafe(out)
 	return out
--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -34,6 +34,8 @@
 			Learner: x.Learner,
 			Match:   x.Match,
 			Active:  x.Active,
+
+			SafeToLose: x.SafeToLose,
 		})
 	}
 	return out
--- a/control/log.go
+++ b/control/log.go
@@ -11,8 +11,9 @@
 // provides it; controltest has a fake of one member.
 type Log interface {
 	// Propose appends data and returns the state machine's result once the
-	// entry is committed and applied here. Errors: *NotLeaderError (nothing was
-	// appended), *UnknownOutcomeError (it may or may not have been).
+	// entry is committed and applied here. Errors: *NotLeaderError and
+	// *NotAppendedError (nothing was appended), *UnknownOutcomeError and all
+	// others (it may or may not have been).
 	Propose(ctx context.Context, data []byte) (any, error)
 	// Confirm returns an index up to which everything is applied here that was
 	// committed anywhere before begun. It asks a majority, or the leader that
@@ -69,3 +70,14 @@
 
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// NotAppendedError says that an entry was given up before it was appended.
+type NotAppendedError struct {
+	Cause error
+}
+
+// Error describes the failure.
+func (e *NotAppendedError) Error() string { return "nothing was appended: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotAppendedError) Unwrap() error { return e.Cause }
--- a/control/members.go
+++ b/control/members.go
@@ -12,6 +12,9 @@
 	Match uint64
 	// Active is true if the leader heard of it within a lease.
 	Active bool
+	// SafeToLose is true if the group keeps a majority that holds everything
+	// committed without the member.
+	SafeToLose bool
 }
 
 // Membership changes who belongs to the group. The consensus package provides
--- a/control/service/claims.go
+++ b/control/service/claims.go
@@ -145,6 +145,10 @@
 	if errors.As(err, &notLeader) {
 		return unavailable(notLeader.LeaderAddr)
 	}
+	var notAppended *control.NotAppendedError
+	if errors.As(err, &notAppended) {
+		return unavailable("")
+	}
 	return &pb.ClaimReply{Status: pb.ClaimStatus_CLAIM_STATUS_UNKNOWN}
 }
 
