--- a/entry/decode.go
+++ b/entry/decode.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,9 +29,11 @@
 
 // request is a checked query with all of its terms settled.
 type request struct {
-	id          string
-	kind        *topology.Kind
-	shards      []topology.ShardID
+	id     string
+	kind   *topology.Kind
+	shards []topology.ShardID
+	// groups names the groups of the shards, in order.
+	groups      string
 	policy      topology.Policy
 	minCoverage float64
 	once        bool
@@ -133,9 +137,23 @@
 	if len(r.shards) == 0 || len(r.shards) > api.MaxShards {
 		return refuseField(api.CodeBadField, "shards", "no shard or too many shards asked")
 	}
+	r.groups = groupsOf(r.shards, v)
 	return nil
 }
 
+// groupsOf joins the names of the shards' groups.
+func groupsOf(shards []topology.ShardID, v *board.View) string {
+	names := make([]string, 0, 1)
+	for _, s := range shards {
+		name := string(v.Topology.GroupOf(s).Name)
+		if len(names) == 0 || names[len(names)-1] != name && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return strings.Join(names, "\x00")
+}
+
 func (r *request) setDeadline(q *api.Query, _ *board.View) *api.Refusal {
 	if q.DeadlineMS < 0 || q.DeadlineMS > api.MaxDeadlineMS {
 		return refuseField(api.CodeBadDeadline, "deadline_ms", "must lie between 1 and "+strconv.Itoa(api.MaxDeadlineMS))
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -67,7 +67,7 @@
 		return nil, refusal
 	}
 	req.id, req.start = id, start
-	if !s.admission.Admit(req.kind.Name, req.kind.Weight, float64(len(req.shards)), draw(), start) {
+	if !s.admission.of(req).Admit(req.kind.Name, req.kind.Weight, float64(len(req.shards)), draw(), start) {
 		return nil, keyed(req.once, refuse(api.CodeOverloaded, "the targets carry no more queries of this kind now"))
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
@@ -143,7 +143,7 @@
 // account books what the query showed and did.
 func (s *Server) account(sc *scatter) {
 	now := time.Now()
-	s.admission.Observe(sc.gather.Pressure(), now)
+	s.admission.of(sc.req).Observe(sc.gather.Pressure(), now)
 	for group, ds := range sc.latencies {
 		s.history.Add(group, ds, now)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -62,7 +62,7 @@
 	learned   *query.Learned
 	history   *query.History
 	budget    *query.Budget
-	admission *query.Admission
+	admission *admissions
 	routes    atomic.Pointer[query.Routes]
 
 	prefix string
@@ -95,7 +95,7 @@
 		learned:   query.NewLearned(),
 		history:   query.NewHistory(),
 		budget:    &query.Budget{},
-		admission: query.NewAdmission(),
+		admission: &admissions{byGroups: make(map[string]*query.Admission)},
 		prefix:    hex.EncodeToString(seed[:]) + "-",
 	}
 }
--- a/owner/choose.go
+++ b/owner/choose.go
@@ -6,6 +6,8 @@
 	// stallFactor is how many usual service times a search may run, without any
 	// answer of its target meanwhile, before the target gets nothing more.
 	stallFactor = 3.0
+	// latencyAge is how long a target's latency counts after its last search.
+	latencyAge = time.Second
 )
 
 // choose returns the target with a free slot that should run j, or nil if j
@@ -27,11 +29,11 @@
 		}
 		switch {
 		case !bad:
-			chosen = better(chosen, r)
+			chosen = better(chosen, r, best, now)
 		case r.probeDue(j, now):
-			probe = better(probe, r)
+			probe = better(probe, r, best, now)
 		default:
-			last = better(last, r)
+			last = better(last, r, best, now)
 		}
 	}
 	if probe != nil {
@@ -110,17 +112,20 @@
 
 // better returns the one of a and b with the lesser load for its limit, then
 // the lesser latency. A may be nil.
-func better(a, b *replica) *replica {
-	if a == nil {
-		return b
-	}
-	if cost(b) < cost(a) {
+func better(a, b *replica, best time.Duration, now time.Time) *replica {
+	if a == nil || cost(b, best, now) < cost(a, best, now) {
 		return b
 	}
 	return a
 }
 
-func cost(r *replica) float64 {
+// cost grows with a target's load for its limit and its latency. An old latency
+// counts as the best one, so that a target that got no work is tried again.
+func cost(r *replica, best time.Duration, now time.Time) float64 {
 	load := float64(len(r.running)+1) / float64(r.ramp.Limit())
-	return load * float64(max(r.outlier.latency, time.Millisecond))
+	latency := r.outlier.latency
+	if now.Sub(r.sampledAt) > latencyAge {
+		latency = best
+	}
+	return load * float64(max(latency, time.Millisecond))
 }
--- a/owner/outlier.go
+++ b/owner/outlier.go
@@ -44,7 +44,7 @@
 // givenUp takes in a search that was given up after d. How long it would have
 // taken isn't known, so a row of such searches counts, not their length.
 func (o outlier) givenUp(d, usual time.Duration) outlier {
-	if usual > 0 && float64(d) > lateFactor*float64(usual) {
+	if float64(d) > lateFactor*float64(usual) {
 		o.lates++
 	}
 	if d > o.latency {
--- a/owner/replica.go
+++ b/owner/replica.go
@@ -43,6 +43,8 @@
 	running  []*running
 	// answeredAt is when the target last answered a search.
 	answeredAt time.Time
+	// sampledAt is when a search there last ended in any way.
+	sampledAt time.Time
 }
 
 // running is one search at a target.
@@ -109,6 +111,7 @@
 
 // observe takes in what a search showed of the target.
 func (r *replica) observe(out target.Outcome, usual time.Duration, now time.Time) {
+	r.sampledAt = now
 	if len(out.Versions) > 0 {
 		r.versions, r.versionsAt = out.Versions, now
 	}
