--- a/bench/arrivals.go
+++ b/bench/arrivals.go
@@ -39,28 +39,39 @@
 	return time.Duration(float64(standin.DefaultMedian) * math.Exp(sigma*sigma/2))
 }
 
-// Arrivals draws the queries of one run from its seed.
+// Arrivals draws the queries of one run from its seed. The measured ones don't
+// depend on the length of the warm-up.
 func Arrivals(s *Site, l Load) []Arrival {
-	rng := rand.New(rand.NewPCG(l.Seed, 2)) //nolint:gosec // Repeatable on purpose.
-	index := topology.NewIndex(s.Deployment)
-	rate := s.Rate(l.Share, meanService())
+	d := drawer{site: s, index: topology.NewIndex(s.Deployment), load: l, rate: s.Rate(l.Share, meanService())}
+	warm := d.draw("w", 5, -l.Warmup, 0, 0)
+	return append(warm, d.draw("q", 2, 0, l.Duration, l.Queries)...)
+}
+
+// drawer draws arrivals.
+type drawer struct {
+	site  *Site
+	index *topology.Index
+	load  Load
+	rate  float64
+}
+
+// draw returns the arrivals between two times, at most limit of them unless it
+// is 0. Stream tells apart what is drawn from one seed.
+func (d *drawer) draw(prefix string, stream uint64, from, to time.Duration, limit int) []Arrival {
+	rng := rand.New(rand.NewPCG(d.load.Seed, stream)) //nolint:gosec // Repeatable on purpose.
 	var all []Arrival
-	measured := 0
-	at := -l.Warmup
-	for {
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if at >= l.Duration || (l.Queries > 0 && measured == l.Queries) {
+	for at := from; ; {
+		at += time.Duration(rng.ExpFloat64() / d.rate * float64(time.Second))
+		if at >= to || (limit > 0 && len(all) == limit) {
 			return all
 		}
-		if at >= 0 {
-			measured++
-		}
-		m := pick(s.Mix, rng.Float64())
-		a := Arrival{At: at, Kind: index.Kind(m.Kind), Group: index.Group(m.Group)}
-		a.Body = fmt.Appendf(nil, `{"q":"%s-%d-%d"}`, m.Kind, l.Seed, len(all))
+		m := pick(d.site.Mix, rng.Float64())
+		a := Arrival{At: at, Kind: d.index.Kind(m.Kind), Group: d.index.Group(m.Group)}
+		name := fmt.Sprintf("%s-%s-%d-%d", prefix, m.Kind, d.load.Seed, len(all))
+		a.Body = fmt.Appendf(nil, `{"q":%q}`, name)
 		a.Hash = standin.HashBody(a.Body)
 		if !a.Kind.Idempotent {
-			a.Key = fmt.Sprintf("%s-%d-%d", m.Kind, l.Seed, len(all))
+			a.Key = name
 		}
 		all = append(all, a)
 	}
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math"
+	"net"
+	"net/netip"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/standin"
+	"github.com/peridotmux/peridotmux/target"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -141,3 +146,104 @@
 		t.Fatalf("got %+v", m)
 	}
 }
+
+func TestProductKeepsItsPromises(t *testing.T) {
+	l := Load{Seed: 1, Share: 0.1, Warmup: time.Second, Duration: 2 * time.Second}
+	report, err := Measure(context.Background(), Request{
+		Scenario: "steady", Deployment: Brazos, Load: l, Policies: []string{PolicyProduct},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := report.Product
+	if m.Queries == 0 || m.Answered == 0 {
+		t.Fatalf("nothing was answered: %+v", m)
+	}
+	if m.LyingCoverage+m.MixedSnapshots+m.Crossed+m.Lost+m.LyingRefusals+m.Doubled+m.ColdOverloads != 0 {
+		t.Fatalf("a promise was broken: %+v", m)
+	}
+}
+
+func TestMeasuredArrivalsDontDependOnTheWarmup(t *testing.T) {
+	s, _ := NewSite(Duenger)
+	l := Load{Seed: 3, Share: 0.5, Duration: time.Second}
+	without := Arrivals(s, l)
+	l.Warmup = time.Second
+	with := Arrivals(s, l)
+	with = with[len(with)-len(without):]
+	for i := range without {
+		if with[i].At != without[i].At || with[i].Hash != without[i].Hash {
+			t.Fatalf("arrival %d differs", i)
+		}
+	}
+}
+
+func TestQuietViolationIsTheLastStart(t *testing.T) {
+	stand := standin.New(standin.Options{ID: "t", Shard: "s", Median: time.Millisecond})
+	if err := stand.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	defer stand.Close()
+	c := target.NewClient(target.Options{})
+	defer c.Close()
+	out := c.Search(context.Background(), target.Search{
+		Target:       &topology.Target{ID: "t", Shard: "s", Addr: stand.Addr()},
+		IndexVersion: 1, Deadline: time.Now().Add(5 * time.Second),
+	})
+	if out.Status != target.OK {
+		t.Fatalf("got %+v", out)
+	}
+	begun := stand.Ledger().Entries()[0].Begun
+	w := &World{Targets: map[topology.TargetID]*standin.Target{"t": stand}}
+	w.quiet(begun.Add(-2*time.Second), "t")
+	if got := quietViolation(w); got != 2 {
+		t.Fatalf("got %f s", got)
+	}
+	w.returned(begun.Add(-time.Second), "t")
+	if got := quietViolation(w); got != 0 {
+		t.Fatalf("got %f s for a start after the return", got)
+	}
+}
+
+func TestProxyCutsSilentlyAndHeals(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = io.Copy(c, c)
+		}
+	}()
+	p, err := newProxy(loopback, netip.MustParseAddrPort(l.Addr().String()), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	c, err := net.Dial("tcp", p.addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	echo := func() error {
+		_, _ = c.Write([]byte("x"))
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	if err := echo(); err != nil {
+		t.Fatal(err)
+	}
+	p.cut()
+	_, _ = c.Write([]byte("x"))
+	_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("a cut proxy gave %v", err)
+	}
+	p.heal()
+	if err := echo(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/bench/product.go
+++ b/bench/product.go
@@ -60,7 +60,7 @@
 		Members:    members,
 		Routers:    routers,
 		DataDir:    folder,
-		Log:        settings.Log{Level: slog.LevelWarn},
+		Log:        settings.Log{Level: logLevel()},
 		LogOutput:  logOutput(),
 		Router:     p.configureRouter,
 		Member:     p.network.joinMember,
@@ -76,15 +76,23 @@
 	return nil
 }
 
-// logOutput sends the product's warnings to standard error if the environment
-// asks for them.
+// EnvLogs names the environment variable that sends the product's log lines
+// from the level that it names to standard error.
+const EnvLogs = "PERIDOTMUX_BENCH_LOGS"
+
 func logOutput() io.Writer {
-	if os.Getenv("PERIDOTMUX_BENCH_LOGS") == "" {
+	if os.Getenv(EnvLogs) == "" {
 		return nil
 	}
 	return os.Stderr
 }
 
+func logLevel() slog.Level {
+	level := slog.LevelWarn
+	_ = level.UnmarshalText([]byte(os.Getenv(EnvLogs))) // Keeps the warnings if it names no level.
+	return level
+}
+
 // configureRouter puts a router behind the network of the bench: it is reached
 // through a proxy with latency, and its searches start from its own address.
 func (p *product) configureRouter(c *router.Config) {
--- a/bench/report.go
+++ b/bench/report.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if name != PolicyProduct {
+		l.Warmup = min(l.Warmup, plainWarmup)
+	}
 	return Execute(ctx, site, sc, l, p)
 }
 
@@ -130,5 +133,10 @@
 	}
 }
 
-// DefaultWarmup is the time under load before a run is measured.
-const DefaultWarmup = 5 * time.Second
+const (
+	// DefaultWarmup is the time under load before the product is measured. Its
+	// owners take each target for cold until it has done its work.
+	DefaultWarmup = 15 * time.Second
+	// plainWarmup is enough for policies that learn nothing.
+	plainWarmup = 2 * time.Second
+)
