Add agreement, files and recovery to the capacity page

Seven slopes more: an idle group, confirmations, commits with synced files, the files' size and the time to read them.

Changed: the least of three runs counts in place of the median, since other work on the machine only adds.

--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -62,6 +62,14 @@
 	StateMemory   Slope
 	ClaimMemory   Slope
 
+	GroupIdle        Slope
+	GroupIdleBytes   Slope
+	ConfirmProcessor Slope
+	ConfirmBytes     Slope
+	ProposeTime      Slope
+	DiskBytes        Slope
+	LoadTime         Slope
+
 	LogBytes      Slope
 	SnapshotBytes Slope
 	ReplayTime    Slope
--- a/internal/capacity/history.go
+++ b/internal/capacity/history.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return err
 		}
-		ms, err := median(func() (float64, error) { return l.replay(), nil })
+		ms, err := least(func() (float64, error) { return l.replay(), nil })
 		if err != nil {
 			return err
 		}
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -1,15 +1,16 @@
 package main
 
 import (
+	"math"
 	"net"
 	"runtime"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// rounds is how often each size is measured; the median counts.
+// rounds is how often each size is measured. The least value counts, since
+// other work on the machine only adds.
 const rounds = 3
 
 // processorTime returns the processor time of this process so far.
@@ -33,24 +34,23 @@
 	return m.HeapAlloc + m.StackInuse
 }
 
-// median measures rounds times and returns the middle value.
-func median(measure func() (float64, error)) (float64, error) {
-	values := make([]float64, rounds)
-	for i := range values {
+// least measures rounds times and returns the least value.
+func least(measure func() (float64, error)) (float64, error) {
+	lowest := math.Inf(1)
+	for range rounds {
 		v, err := measure()
 		if err != nil {
 			return 0, err
 		}
-		values[i] = v
+		lowest = min(lowest, v)
 	}
-	slices.Sort(values)
-	return values[rounds/2], nil
+	return lowest, nil
 }
 
 // measureSizes measures y at each size and fits the line.
 func measureSizes(s Slope, sizes []int, measure func(size int) (float64, error)) (Slope, error) {
 	for _, size := range sizes {
-		y, err := median(func() (float64, error) { return measure(size) })
+		y, err := least(func() (float64, error) { return measure(size) })
 		if err != nil {
 			return s, &MeasureError{Slope: s.Key, Size: size, Cause: err}
 		}
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -2,6 +2,12 @@
 
 import "github.com/peridotmux/peridotmux/lease"
 
+// EntriesKept is the number of entries that a restart may have to read.
+func (s *sums) EntriesKept() float64 { return entriesKept }
+
+// DiskMiB is the size of a member's files with as many entries.
+func (s *sums) DiskMiB() float64 { return s.DiskBytes.At(entriesKept) / 1024 }
+
 // bars holds the bars that sums are held against.
 type bars struct {
 	InForce, Latency, Core, Memory, Traffic, SetAside float64
@@ -32,7 +38,8 @@
 		fanOutAhead, fanOutAhead, s.OwnersAsked, s.OwnersAsked, s.PerNodeSubRequests(), fanOutAhead,
 		nodesAhead - 1, targetConnections, s.Followers, s.Followers, float64(s.Placed[0].Lost[2]), nodesAhead,
 		replicasAhead, s.Followers, s.Followers, nodesAhead, nodesAhead, nodesAhead,
-		claimsKept, changesAhead, intentsKept, changesAhead,
+		claimsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
+		s.DeploymentKiB(), entriesKept, entriesKept, changesAhead, intentsKept, changesAhead,
 	}
 	slopes := s.slopes()
 	rows := make([]tableRow, len(slopes))
@@ -55,7 +62,7 @@
 func (s *sums) LeaseSeconds() float64 { return lease.Duration.Seconds() }
 
 // InForceSeconds bounds the time until an accepted change is in force.
-func (s *sums) InForceSeconds() float64 { return s.LeaseSeconds() + s.PushMS/1e3 }
+func (s *sums) InForceSeconds() float64 { return s.LeaseSeconds() + (s.CommitMS+s.PushMS)/1e3 }
 
 // RenewalMicros is the processor time of one renewal.
 func (s *sums) RenewalMicros() float64 { return s.RenewalProcessor.PerX * 1e3 }
@@ -72,7 +79,15 @@
 func (s *sums) FollowerCPUAll() float64 { return s.FollowerCPU() + s.FollowerPushCPU() }
 
 // MemberCPUAll is the share of a core that a leading member takes.
-func (s *sums) MemberCPUAll() float64 { return s.MemberCPU + s.LeaderCPU + s.PushCPUDay }
+func (s *sums) MemberCPUAll() float64 {
+	return s.MemberCPU + s.MemberConfirmCPU + s.MemberIdleCPU + s.LeaderCPU + s.PushCPUDay
+}
+
+// PacedCPU is what confirmations take if they are at most 100 ms old.
+func (s *sums) PacedCPU() float64 { return s.ConfirmProcessor.PerX * pacedRounds / 10 }
+
+// PacedCPUAll is what control then takes at a member.
+func (s *sums) PacedCPUAll() float64 { return s.MemberCPUAll() - s.MemberConfirmCPU + s.PacedCPU() }
 
 // MemberRenewals is the number of renewals a second at a member.
 func (s *sums) MemberRenewals() float64 { return s.Followers * s.RenewalsPerSecond }
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/peridotmux/peridotmux/consensus/group"
 	"github.com/peridotmux/peridotmux/control/state"
 	"github.com/peridotmux/peridotmux/lease"
 )
@@ -34,6 +35,12 @@
 	controlTick        = 0.25
 	// connectionsATarget bounds an owner's connections to one target.
 	connectionsATarget = 24
+	// entriesKept is the number of entries that a restart may have to read: one
+	// interval of snapshots and what is kept behind the newest.
+	entriesKept = group.DefaultSnapshotEvery + group.DefaultTrailingEntries
+	// pacedRounds is the number of rounds a second of a member that answers
+	// from confirmations up to 100 ms old.
+	pacedRounds = 10
 	// claimsKept and intentsKept are the state's limits.
 	claimsKept  = 100_000
 	intentsKept = 4096
@@ -71,7 +78,6 @@
 	MemberCPU        float64
 	OneMemberCPU     float64
 	MemberTraffic    float64
-	MemberWhole      float64
 	FedByMember      float64
 	LeaderCPU        float64
 	PushCPUDay       float64
@@ -80,6 +86,12 @@
 	ClaimsMiB        float64
 	ClaimRate        float64
 	ClaimShare       float64
+	MemberConfirmCPU float64
+	MemberIdleCPU    float64
+	MemberGroup      float64
+	MemberPaced      float64
+	CommitMS         float64
+	LoadMS           float64
 	LogADayMiB       float64
 	LogWholeADayMiB  float64
 	SnapshotMiB      float64
@@ -141,8 +153,15 @@
 	cost := s.RenewalProcessor.PerX * s.RenewalsPerSecond // Milliseconds a second for one follower.
 	s.MemberCPU = cost * s.Followers / 10
 	s.OneMemberCPU = cost * nodesAhead / 10
-	s.MemberTraffic = s.FollowerSmall * s.Followers
-	s.MemberWhole = s.FollowerWhole * s.Followers
+	renewals := s.Followers * s.RenewalsPerSecond * membersARegion
+	s.MemberConfirmCPU = s.ConfirmProcessor.PerX * renewals / membersARegion / 10
+	s.MemberIdleCPU = s.GroupIdle.At(membersARegion) / membersARegion / 10
+	// Both ends count the bytes between members.
+	s.MemberGroup = 2 * (s.ConfirmBytes.PerX*renewals + s.GroupIdleBytes.At(membersARegion)) / membersARegion
+	s.MemberPaced = 2 * (s.ConfirmBytes.PerX*pacedRounds*membersARegion + s.GroupIdleBytes.At(membersARegion)) / membersARegion
+	s.CommitMS = s.ProposeTime.At(s.DeploymentBytes.At(replicasAhead))
+	s.LoadMS = s.LoadTime.At(entriesKept)
+	s.MemberTraffic = s.FollowerSmall*s.Followers + s.MemberGroup
 	s.FedByMember = controlTrafficBar / s.FollowerSmall
 	s.LeaderCPU = s.LeaderIdle.At(nodesAhead) / 10
 	s.PushMS = s.PushTime.At(s.Followers)
@@ -169,6 +188,7 @@
 		f.FanOutProcessor, f.FanOutBytes, f.OwnersProcessor, f.OwnersMessages, f.SearchProcessor, f.WholePath,
 		f.StreamMemory, f.TargetMemory, f.RenewalProcessor, f.RenewalBytes, f.DeltaBytes, f.WholeBytes,
 		f.DeploymentBytes, f.PushTime, f.PushProcessor, f.PlacementTime, f.LeaderIdle, f.StateMemory,
-		f.ClaimMemory, f.LogBytes, f.SnapshotBytes, f.ReplayTime,
+		f.ClaimMemory, f.GroupIdle, f.GroupIdleBytes, f.ConfirmProcessor, f.ConfirmBytes, f.ProposeTime,
+		f.DiskBytes, f.LoadTime, f.LogBytes, f.SnapshotBytes, f.ReplayTime,
 	}
 }
