--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,6 +195,9 @@
 // that this member no longer leads.
 func (g *Group) noteLeadership() {
 	next := control.Leadership{Leads: g.node.IsLeader(), Term: g.node.Term()}
+	if leader := g.node.Leader(); leader != consensus.None {
+		next.LeaderID = strconv.FormatUint(uint64(leader), 10)
+	}
 	next.LeaderAddr = g.links.addrOf(g.node.Leader(), g.node.Membership())
 	g.mu.Lock()
 	old := g.leadership
--- a/control/admin/members.go
+++ b/control/admin/members.go
@@ -17,13 +17,13 @@
 // memberStatus lists the members as the group knows them, or else the peers of
 // the settings as far as they have reported.
 func (h *Handler) memberStatus(now time.Time) []api.MemberStatus {
-	leader := h.c.Log.Leadership().LeaderAddr
+	lead := h.c.Log.Leadership()
 	var out []api.MemberStatus
 	if h.c.Members != nil {
 		for _, m := range h.c.Members.Members() {
 			out = append(out, api.MemberStatus{
 				ID: m.ID, Addr: m.Addr, Learner: m.Learner, Applied: m.Match,
-				Healthy: m.Active, Leader: m.Addr == leader, SafeToLose: m.SafeToLose,
+				Healthy: m.Active, Leader: m.ID == lead.LeaderID, SafeToLose: m.SafeToLose,
 			})
 		}
 		return out
@@ -32,7 +32,7 @@
 	for _, p := range h.c.Peers {
 		m := seen[p.ID]
 		out = append(out, api.MemberStatus{
-			ID: p.ID, Addr: p.RPC, Applied: m.Applied, Healthy: m.Healthy, Leader: p.RPC == leader,
+			ID: p.ID, Addr: p.RPC, Applied: m.Applied, Healthy: m.Healthy, Leader: p.RPC == lead.LeaderAddr,
 		})
 	}
 	markSafe(out)
--- a/control/log.go
+++ b/control/log.go
@@ -28,6 +28,8 @@
 	// Leads is true if this member leads.
 	Leads bool
 	Term  uint64
+	// LeaderID is the leader's member id, empty if unknown.
+	LeaderID string
 	// LeaderAddr is the rpc address of the leader, empty if unknown.
 	LeaderAddr string
 	// Changed is closed when any of this changes.
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -84,6 +84,8 @@
 	members []*process
 	routers []*process
 	client  *adminclient.Client
+	network *network
+	web     []string
 }
 
 const (
@@ -164,7 +166,7 @@
 
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{dir: t.TempDir()}
+	c := &cluster{dir: t.TempDir(), network: newNetwork()}
 	deployment := c.write(t, "deployment.ini", deploymentFile(freeAddrs(t, shards*replicas)))
 	c.ledger = freeAddrs(t, 1)[0]
 	c.start(t, "targets", "", "peridotmux-bench", "standin", "--deployment", deployment, "--ledger", c.ledger)
@@ -173,10 +175,11 @@
 		file := c.write(t, fmt.Sprintf("control-%d.ini", i+1), c.controlFile(t, i, rpc, web))
 		c.members = append(c.members, c.start(t, "control", web[i], "peridotmux-control", "--settings", file))
 	}
+	c.web = web
 	c.client = adminclient.New(web)
 	routerRPC, routerHTTP := freeAddrs(t, routers), freeAddrs(t, routers)
 	for i := range routers {
-		file := c.write(t, fmt.Sprintf("router-%d.ini", i+1), routerFile(i, routerRPC[i], routerHTTP[i], rpc))
+		file := c.write(t, fmt.Sprintf("router-%d.ini", i+1), c.routerFile(t, i, routerRPC[i], routerHTTP[i], rpc))
 		c.routers = append(c.routers, c.start(t, "router", routerHTTP[i], "peridotmux-router", "--settings", file))
 	}
 	eventually(t, startPatience, "every router answers whole", func() bool {
@@ -217,12 +220,25 @@
 		i+1, dataCentres[i], i+1, rpc[i], web[i])
 	fmt.Fprintf(&b, "data_folder = %s\nbootstrap = yes\ndeployment = deployment.ini\n", folder)
 	for m := range members {
-		fmt.Fprintf(&b, "[member %d]\nname = state-%d\nrpc = %s\nhttp = %s\n", m+1, m+1, rpc[m], web[m])
+		addr := rpc[m]
+		if m != i {
+			addr = c.network.via(t, controlName(i), controlName(m), addr)
+		}
+		fmt.Fprintf(&b, "[member %d]\nname = state-%d\nrpc = %s\nhttp = %s\n", m+1, m+1, addr, web[m])
 	}
 	return b.String()
 }
 
-func routerFile(i int, rpc, web string, control []string) string {
+func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
+
+func routerName(i int) string { return fmt.Sprintf("router-%d", i+1) }
+
+func (c *cluster) routerFile(t *testing.T, i int, rpc, web string, members []string) string {
+	t.Helper()
+	var control []string
+	for m, addr := range members {
+		control = append(control, c.network.via(t, routerName(i), controlName(m), addr))
+	}
 	return fmt.Sprintf("[router]\nvm = entry-%d\nregion = one\ndata_centre = %s\nhttp = %s\nrpc = %s\ncontrol = %s\nbalancer_lag = 1s\n",
 		i+1, dataCentres[i], web, rpc, strings.Join(control, ", "))
 }
