--- /dev/null
+++ b/bench/arrivals.go
@@ -0,0 +1,88 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/peridotmux/peridotmux/standin"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Arrival is one query that callers will send.
+type Arrival struct {
+	// At is the intended send time after the begin of the load. It is negative
+	// for queries that only warm the system up.
+	At    time.Duration
+	Kind  *topology.Kind
+	Group *topology.Group
+	// Key is the request key of a non-idempotent query.
+	Key  string
+	Body []byte
+	Hash string
+}
+
+// Load describes the arrivals of one run.
+type Load struct {
+	Seed     uint64
+	Share    float64
+	Warmup   time.Duration
+	Duration time.Duration
+	// Queries bounds the measured queries, 0 for no bound.
+	Queries int
+}
+
+// meanService is the mean of the stand-ins' lognormal service time.
+func meanService() time.Duration {
+	const sigma = standin.DefaultSigma
+	return time.Duration(float64(standin.DefaultMedian) * math.Exp(sigma*sigma/2))
+}
+
+// Arrivals draws the queries of one run from its seed. The measured ones don't
+// depend on the length of the warm-up.
+func Arrivals(s *Site, l Load) []Arrival {
+	d := drawer{site: s, index: topology.NewIndex(s.Deployment), load: l, rate: s.Rate(l.Share, meanService())}
+	warm := d.draw("w", 5, -l.Warmup, 0, 0)
+	return append(warm, d.draw("q", 2, 0, l.Duration, l.Queries)...)
+}
+
+// drawer draws arrivals.
+type drawer struct {
+	site  *Site
+	index *topology.Index
+	load  Load
+	rate  float64
+}
+
+// draw returns the arrivals between two times, at most limit of them unless it
+// is 0. Stream tells apart what is drawn from one seed.
+func (d *drawer) draw(prefix string, stream uint64, from, to time.Duration, limit int) []Arrival {
+	rng := rand.New(rand.NewPCG(d.load.Seed, stream)) //nolint:gosec // Repeatable on purpose.
+	var all []Arrival
+	for at := from; ; {
+		at += time.Duration(rng.ExpFloat64() / d.rate * float64(time.Second))
+		if at >= to || (limit > 0 && len(all) == limit) {
+			return all
+		}
+		m := pick(d.site.Mix, rng.Float64())
+		a := Arrival{At: at, Kind: d.index.Kind(m.Kind), Group: d.index.Group(m.Group)}
+		name := fmt.Sprintf("%s-%s-%d-%d", prefix, m.Kind, d.load.Seed, len(all))
+		a.Body = fmt.Appendf(nil, `{"q":%q}`, name)
+		a.Hash = standin.HashBody(a.Body)
+		if !a.Kind.Idempotent {
+			a.Key = name
+		}
+		all = append(all, a)
+	}
+}
+
+func pick(mix []Share, x float64) Share {
+	for _, m := range mix {
+		if x < m.Share {
+			return m
+		}
+		x -= m.Share
+	}
+	return mix[len(mix)-1]
+}
