--- a/consensus/group/bootstrap.go
+++ b/consensus/group/bootstrap.go
@@ -26,7 +26,7 @@
 	for !g.initialized.Load() {
 		first, exists := g.firstMembership(ctx)
 		switch {
-		case len(first.Members) == 0:
+		case !exists && len(first.Members) == 0:
 		case !first.Lists(g.cfg.ID, g.disk):
 			g.cfg.Log.Warn("consensus group exists without this disk; a member operation has to add it", "disk", string(g.disk))
 			return
@@ -58,12 +58,12 @@
 }
 
 // firstMembership returns the membership to begin with, empty if it isn't
-// known, and whether another member has written it already.
+// known, and whether the group exists already.
 func (g *Group) firstMembership(ctx context.Context) (first consensus.Membership, exists bool) {
 	low := g.cfg.lowest()
 	if low.ID != g.cfg.ID {
 		r, err := g.identify(ctx, low.RPC)
-		if err != nil || !r.GetInitialized() {
+		if err != nil || r.GetFirst() == nil {
 			return consensus.Membership{}, false
 		}
 		return codec.MembershipFromPB(r.GetFirst()), true
--- a/consensus/group/loss_test.go
+++ b/consensus/group/loss_test.go
@@ -160,10 +160,10 @@
 	c := newCluster(t, 3)
 	c.startAll()
 	want := 0
-	for round := range 2 {
-		c.proposeAll(fmt.Sprint("round", round, "-"), 20)
+	// Member 1 forms the group at the first start, and must not do so again.
+	for _, id := range []consensus.MemberID{1, 2} {
+		c.proposeAll(fmt.Sprint("before ", id, " is lost: "), 20)
 		want += 20
-		id := c.leader().id%3 + 1
 		old := c.running[id].Disk()
 		c.running[id].stop()
 		if err := os.RemoveAll(c.dirs[id]); err != nil {
@@ -174,8 +174,9 @@
 			t.Fatal("a new data folder has the old identity")
 		}
 		time.Sleep(500 * time.Millisecond)
-		if got := p.journal.count(); got != 0 {
-			t.Fatalf("a member with an empty disk applied %d commands under its old identity", got)
+		s, err := p.Status(t.Context())
+		if got := p.journal.count(); err != nil || got != 0 || len(s.Members) != 0 {
+			t.Fatalf("a member with an empty disk: %v, %d commands applied, members %v", err, got, s.Members)
 		}
 		c.repair(id)
 		eventually(t, "the repaired member holds all", func() bool { return p.journal.count() == want })
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// learnerPatience is how many election timeouts a learner waits longer.
+const learnerPatience = 4
+
 // Node is one member's part in the agreement. It isn't safe for use by several
 // goroutines.
 type Node struct {
@@ -126,11 +129,22 @@
 		n.tickLeader()
 		return
 	}
-	if n.elapsed >= n.timeout && n.electable() && n.restoring == nil {
+	if n.restoring == nil && n.mayStand() {
 		n.campaign()
 	}
 }
 
+// mayStand tells whether it is time to stand for election. A learner stands
+// only after a long wait: it may hold entries that keep it from voting for any
+// voter, when the leader that sent them is lost. It isn't counted itself, and
+// steps down once it has committed what it holds.
+func (n *Node) mayStand() bool {
+	if n.electable() {
+		return n.elapsed >= n.timeout
+	}
+	return n.mayVote() && n.elapsed >= learnerPatience*n.timeout
+}
+
 func (n *Node) tickLeader() {
 	if n.elapsed >= n.cfg.ElectionTicks {
 		n.elapsed = 0
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -217,6 +217,42 @@
 	}
 }
 
+func TestLearnerWithTheLongestLogStandsInTheEnd(t *testing.T) {
+	const ticks = 10
+	hard, entries := consensus.Bootstrapped(consensus.NewMembership(
+		consensus.Member{ID: 1, Disk: "a", Learner: true}, consensus.Member{ID: 2, Disk: "b"}, consensus.Member{ID: 3, Disk: "c"},
+	))
+	n := consensus.New(consensus.Config{ID: 1, Disk: "a", HardState: hard, Entries: entries, ElectionTicks: ticks})
+	waited := 0
+	for n.Status().Role == consensus.Follower && waited < 100*ticks {
+		n.Tick()
+		waited++
+	}
+	if waited < 4*ticks || waited > 8*ticks {
+		t.Errorf("a learner stands after %d ticks, want 4 election timeouts", waited)
+	}
+	fromThird := func(m consensus.Message) consensus.Message {
+		m.From, m.FromDisk, m.To, m.ToDisk = 3, "c", 1, "a"
+		return m
+	}
+	n.Step(fromSecond(consensus.Message{Type: consensus.MsgPreVoteReply, Term: 2}))
+	if n.Status().Role != consensus.PreCandidate {
+		t.Error("a learner's own vote counts")
+	}
+	n.Step(fromThird(consensus.Message{Type: consensus.MsgPreVoteReply, Term: 2}))
+	n.Step(fromSecond(consensus.Message{Type: consensus.MsgVoteReply, Term: 2}))
+	n.Step(fromThird(consensus.Message{Type: consensus.MsgVoteReply, Term: 2}))
+	perform(n)
+	n.Step(fromSecond(consensus.Message{Type: consensus.MsgAppendReply, Term: 2, Index: 2}))
+	if !n.IsLeader() || n.Status().Committed != 1 {
+		t.Error("the learner doesn't lead, or commits with its own acknowledgement")
+	}
+	n.Step(fromThird(consensus.Message{Type: consensus.MsgAppendReply, Term: 2, Index: 2}))
+	if n.IsLeader() || n.Status().Committed != 2 {
+		t.Error("the learner leads on after it committed what it held")
+	}
+}
+
 func TestMembershipChangesAreRefused(t *testing.T) {
 	s := calmSim(3)
 	l := s.elected(t)
