Bound writes between processes, so that a silent partition is noticed

Cause: a process that takes no bytes would block a Follow stream's push, and with it the timer that notices a silent router, until the kernel gives up. Reads are bounded by the protocols (routers: no lease for 1.2 s; members: no renewal for 3 s). Seen to fail without it: TestWritesToASilentProcessFail (the write hangs).

--- a/rpc/conn.go
+++ b/rpc/conn.go
@@ -55,7 +55,8 @@
 	if err != nil {
 		return nil, &ConnectionLostError{Addr: addr.String(), Cause: err}
 	}
-	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: managerOptions()}), nil
+	bounded := &deadlineConn{Conn: c, timeout: WriteTimeout}
+	return drpcconn.NewWithOptions(bounded, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 // Serve answers calls on l until ctx ends. Register adds the services.
@@ -65,5 +66,5 @@
 		return err
 	}
 	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	return srv.Serve(ctx, l)
+	return srv.Serve(ctx, &deadlineListener{l})
 }
