Let health pages take nothing out of service

Change: a page teaches versions only while none are known, holds a limit down once for each new process number, and can't drain a target. TestLyingHealthPagesTakeNothingOutOfService.

--- a/internal/faketarget/faketarget.go
+++ b/internal/faketarget/faketarget.go
@@ -33,6 +33,8 @@
 	Service func() time.Duration
 	// Answer overrides how a search ends, if it returns true.
 	Answer func(target.Search) (target.Outcome, bool)
+	// Lie changes what the health page says.
+	Lie func(target.Health) target.Health
 	// Lost resets each connection after the start.
 	Lost bool
 
@@ -189,7 +191,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.get(t)
-	return target.Health{Process: f.Process, InFlight: f.InFlight, Versions: slices.Clone(f.Versions)}, nil
+	page := target.Health{Process: f.Process, InFlight: f.InFlight, Versions: slices.Clone(f.Versions)}
+	if f.Lie != nil {
+		page = f.Lie(page)
+	}
+	return page, nil
 }
 
 // Release does nothing.
--- a/owner/healthcheck.go
+++ b/owner/healthcheck.go
@@ -58,20 +58,19 @@
 	return out
 }
 
-// reported takes in a health page. Pages lag and mislead, so a page may only
-// make the owner more careful, and teach newer versions, which cost nothing to
-// ask for in vain.
+// reported takes in a health page. Pages lag and mislead, so a page can't take
+// a target out of service: it teaches versions while none are known, and a new
+// process number holds the limit down until the next response. That a target
+// drains it says itself to the next search, at no cost.
 func (h *holding) reported(page target.Health) {
 	h.shard.mu.Lock()
 	defer h.shard.mu.Unlock()
 	r := h.replica
-	if len(page.Versions) > 0 && (len(r.versions) == 0 || page.Versions[0] > r.versions[0]) {
+	if len(r.versions) == 0 {
 		r.versions = page.Versions
 	}
-	if page.Draining && page.Process != 0 && page.Process == r.ramp.Process {
-		r.draining = page.Process
-	}
-	if page.Process != 0 && r.ramp.Process != 0 && page.Process != r.ramp.Process {
+	if page.Process != 0 && r.ramp.Process != 0 && page.Process != r.ramp.Process && page.Process != r.reportedProcess {
 		r.ramp = r.ramp.Step(ConnectionLost{})
 	}
+	r.reportedProcess = page.Process
 }
--- /dev/null
+++ b/owner/healthcheck_test.go
@@ -0,0 +1,39 @@
+package owner
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peridotmux/peridotmux/internal/faketarget"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/target"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// TestLyingHealthPagesTakeNothingOutOfService lets the pages name drains,
+// processes and versions at random.
+func TestLyingHealthPagesTakeNothingOutOfService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(8, 8))
+		f := newFixture(t, pair, func(tg *topology.Target) *faketarget.Target {
+			ft := faketarget.Steady(service, 2)(tg)
+			ft.Lie = func(h target.Health) target.Health {
+				if h.Process = uint64(1 + rng.IntN(3)); ft.Started != nil {
+					h.Versions = []uint64{uint64(rng.IntN(9))}
+				}
+				h.Draining, h.Cold, h.InFlight = true, rng.IntN(2) == 0, 99
+				return h
+			}
+			return ft
+		})
+		for range 100 {
+			r := f.ask("r1", "g/000", 400*time.Millisecond)
+			if r.GetStatus() != pb.SubStatus_SUB_STATUS_OK || len(r.GetVersions()) != 1 || r.GetVersions()[0] != 1 {
+				t.Fatalf("got %v", r)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/owner/replica.go
+++ b/owner/replica.go
@@ -41,6 +41,8 @@
 	// draining is the process number that said that it leaves, 0 if none.
 	draining uint64
 	running  []*running
+	// reportedProcess is the process number on the last health page.
+	reportedProcess uint64
 	// answeredAt is when the target last answered a search.
 	answeredAt time.Time
 	// sampledAt is when a search there last ended in any way.
