Test that a change counts before it is applied and that hedges share no target

Cause: removing the check of the newest view before a send, or the rule that a hedge avoids its request's target, failed no test.

--- a/owner/choose_test.go
+++ b/owner/choose_test.go
@@ -107,3 +107,19 @@
 		}
 	})
 }
+
+func TestHedgeNeverSharesATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := pair
+		one.Replicas = 1
+		f := newFixture(t, one, faketarget.Steady(service, 2))
+		go f.ask("r1", "g/000", 400*time.Millisecond)
+		time.Sleep(service / 4)
+		h := f.routers["r1"].owner.Do(f.ctx, &pb.SubRequest{
+			Shard: "g/000", RequestId: "q", IndexVersion: 1, BudgetUs: 400_000, Hedge: true,
+		})
+		if h.GetStatus() != pb.SubStatus_SUB_STATUS_NOT_STARTED || f.startedAt("g/000-0") != 1 {
+			t.Errorf("got %v", h)
+		}
+	})
+}
--- a/owner/fence_test.go
+++ b/owner/fence_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +89,31 @@
 		}
 	})
 }
+
+// TestChangeCountsBeforeItIsApplied changes the board while the loop that
+// applies changes doesn't run.
+func TestChangeCountsBeforeItIsApplied(t *testing.T) {
+	changes := map[string]func(*board.View){
+		"quiet": func(v *board.View) { v.QuietDCs = map[topology.DataCentre]board.Quiet{"a": {}} },
+		"taken away": func(v *board.View) {
+			v.Assignments = map[topology.TargetID]board.Assignment{"g/000-0": {Owner: "r2", Previous: "r1", Epoch: 9}}
+		},
+	}
+	for name, change := range changes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, three, faketarget.Steady(service, 2))
+			r := f.routers["r1"]
+			ctx, cancel := context.WithCancel(f.ctx)
+			stopped := New(Config{VM: "r1", Board: r.board, Lease: r.lease, Searcher: f.targets})
+			go stopped.Run(ctx)
+			synctest.Wait()
+			cancel()
+			synctest.Wait()
+			r.board.Update(change)
+			r.owner = stopped
+			if got := f.ask("r1", "g/000", 400*time.Millisecond); got.GetStatus() != pb.SubStatus_SUB_STATUS_NOT_STARTED {
+				t.Errorf("%s: got %v", name, got)
+			}
+		})
+	}
+}
