--- a/owner/choose_test.go
+++ b/owner/choose_test.go
@@ -123,3 +123,22 @@
 		}
 	})
 }
+
+// TestUnseenRestartLetsOnlyTheColdLimitPass asks about three searches that a
+// warm target was to get at once when its idle connections turn out closed.
+func TestUnseenRestartLetsOnlyTheColdLimitPass(t *testing.T) {
+	r := &replica{ramp: serveFor(NewRamp(limits), 1, service, 400)}
+	s := &shard{replicas: []*replica{r}}
+	var runs []*running
+	for range 3 {
+		runs = append(runs, r.begin("q", time.Now()))
+	}
+	for i, run := range runs {
+		if got := s.closedIdle(r, run); got != (i == 0) {
+			t.Errorf("search %d: %v", i, got)
+		}
+	}
+	if r.ramp.Limit() != limits.ColdLimit {
+		t.Errorf("limit %d", r.ramp.Limit())
+	}
+}
