--- a/bench/arrivals.go
+++ b/bench/arrivals.go
@@ -23,6 +23,19 @@
 	Hash string
 }
 
+// resend returns what the caller sends at its nth try. A query with a request
+// key is sent again as it is. One without a key can't be told from a new one, so
+// it gets a body of its own, by which the targets' ledgers tell its sends apart.
+func (a *Arrival) resend(try int) *Arrival {
+	if try == 0 || a.Key != "" {
+		return a
+	}
+	again := *a
+	again.Body = fmt.Appendf(nil, `{"resend":%d,"of":%s}`, try, a.Body)
+	again.Hash = standin.HashBody(again.Body)
+	return &again
+}
+
 // Load describes the arrivals of one run.
 type Load struct {
 	Seed     uint64
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -115,6 +115,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			m := &Measures{Missing: map[api.MissingReason]int{}, Refusals: map[api.Code]int{}}
 			c := newCollector(m, tt.ran)
+			tt.reply.Hash = "h"
 			c.take(&Sample{Arrival: arrival, Replies: []Reply{tt.reply}})
 			got := Measures{
 				LyingCoverage: m.LyingCoverage, MixedSnapshots: m.MixedSnapshots, Crossed: m.Crossed,
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -129,13 +129,17 @@
 	m.Queries++
 	m.Resent += len(s.Replies) - 1
 	c.asked += len(a.Group.Shards)
-	c.begun += c.l.ran[a.Hash]
+	sends := make(map[string]bool)
 	if !a.Kind.Idempotent && c.ranTwice(a) {
 		m.Doubled++
 	}
 	for _, reply := range s.Replies {
-		c.refusal(a, reply.Refusal)
-		c.answer(a, reply.Answer)
+		sends[reply.Hash] = true
+		c.refusal(reply.Hash, reply.Refusal)
+		c.answer(a, reply.Hash, reply.Answer)
+	}
+	for hash := range sends {
+		c.begun += c.l.ran[hash]
 	}
 	last := s.Last()
 	switch {
@@ -162,7 +166,7 @@
 	return false
 }
 
-func (c *collector) refusal(a *Arrival, r *api.Refusal) {
+func (c *collector) refusal(hash string, r *api.Refusal) {
 	if r == nil {
 		return
 	}
@@ -172,20 +176,20 @@
 		return
 	}
 	c.m.RefusedNotRun++
-	if c.l.ran[a.Hash] > 0 {
+	if c.l.ran[hash] > 0 {
 		c.m.LyingRefusals++
 	}
 }
 
 // answer checks one answer against the ledgers.
-func (c *collector) answer(a *Arrival, answer *api.Answer) {
+func (c *collector) answer(a *Arrival, hash string, answer *api.Answer) {
 	if answer == nil {
 		return
 	}
 	for _, missing := range answer.Missing {
 		c.m.Missing[missing.Reason]++
 	}
-	if !c.truthful(a, answer) {
+	if !c.truthful(a, hash, answer) {
 		c.m.LyingCoverage++
 	}
 	versions := make(map[uint64]bool)
@@ -193,7 +197,7 @@
 	for i := range answer.Results {
 		result, ok := decodeResult(answer.Results[i].Body)
 		versions[result.Version] = true
-		if !ok || result.BodyHash != a.Hash || result.Shard != answer.Results[i].Shard {
+		if !ok || result.BodyHash != hash || result.Shard != answer.Results[i].Shard {
 			crossed = true
 		}
 	}
@@ -207,10 +211,10 @@
 
 // truthful reports whether the answer names each asked shard once, and the
 // targets' ledgers hold an answer for each one that it says it covers.
-func (c *collector) truthful(a *Arrival, answer *api.Answer) bool {
+func (c *collector) truthful(a *Arrival, hash string, answer *api.Answer) bool {
 	named := make(map[topology.ShardID]bool)
 	for _, r := range answer.Results {
-		if named[r.Shard] || len(c.l.answered[search{a.Hash, r.Shard}]) == 0 {
+		if named[r.Shard] || len(c.l.answered[search{hash, r.Shard}]) == 0 {
 			return false
 		}
 		named[r.Shard] = true
--- a/bench/naive.go
+++ b/bench/naive.go
@@ -29,6 +29,8 @@
 	rngs    chan *rand.Rand
 	limits  map[topology.TargetID][]chan struct{}
 	quiet   atomic.Pointer[map[topology.TargetID]bool]
+	// changing is held while quiet is replaced.
+	changing sync.Mutex
 }
 
 // NewNaive returns the naive policy. Its only limit is the share of each
@@ -95,7 +97,7 @@
 	}
 }
 
-func (p *direct) Query(ctx context.Context, a *Arrival, _ int, wait time.Duration) Reply {
+func (p *direct) Query(ctx context.Context, a *Arrival, wait time.Duration) Reply {
 	n := p.next.Add(1)
 	router := int(n % routers) //nolint:gosec // Small.
 	id := "n" + strconv.FormatUint(n, 10)
@@ -106,7 +108,7 @@
 		all.Go(func() { results[i] = p.ask(ctx, router, id, shard, a.Body, deadline) })
 	}
 	all.Wait()
-	answer := &api.Answer{RequestID: id, Snapshot: 1, Asked: len(results)}
+	answer := &api.Answer{RequestID: id, Asked: len(results)}
 	for i, r := range results {
 		if r == nil {
 			answer.Missing = append(answer.Missing, api.MissingShard{Shard: a.Group.Shards[i], Reason: api.MissingLate})
@@ -115,6 +117,10 @@
 		answer.Results = append(answer.Results, *r)
 	}
 	answer.Covered = len(answer.Results)
+	if answer.Covered > 0 {
+		result, _ := decodeResult(answer.Results[0].Body)
+		answer.Snapshot = result.Version
+	}
 	answer.Complete = answer.Covered == answer.Asked
 	return Reply{Answer: answer}
 }
@@ -186,6 +192,8 @@
 
 func (p *direct) change(ids []topology.TargetID, quiet bool) time.Time {
 	time.AfterFunc(naivePoll, func() {
+		p.changing.Lock()
+		defer p.changing.Unlock()
 		next := make(map[topology.TargetID]bool)
 		for id := range *p.quiet.Load() {
 			next[id] = true
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -13,14 +13,15 @@
 	Name() string
 	// Start makes it ready for queries to the targets of w.
 	Start(ctx context.Context, w *World) error
-	// Query sends a query through a router that callers may use now. Try counts
-	// the resends of one query from 0.
-	Query(ctx context.Context, a *Arrival, try int, wait time.Duration) Reply
+	// Query sends a query through a router that callers may use now.
+	Query(ctx context.Context, a *Arrival, wait time.Duration) Reply
 	Stop()
 }
 
 // Reply is what a caller gets. Without answer and refusal the query is lost.
 type Reply struct {
+	// Hash is the hash of the body that was sent.
+	Hash    string
 	Answer  *api.Answer
 	Refusal *api.Refusal
 }
--- a/bench/product.go
+++ b/bench/product.go
@@ -133,7 +133,7 @@
 	_ = os.RemoveAll(p.folder)
 }
 
-func (p *product) Query(ctx context.Context, a *Arrival, _ int, wait time.Duration) Reply {
+func (p *product) Query(ctx context.Context, a *Arrival, wait time.Duration) Reply {
 	return p.balancer.query(ctx, &api.Query{
 		Kind:       a.Kind.Name,
 		Groups:     []topology.GroupName{a.Group.Name},
--- a/bench/run.go
+++ b/bench/run.go
@@ -114,7 +114,9 @@
 		wait := a.Kind.Deadline - time.Since(intended) - oneWay - replyMargin
 		reply := Reply{}
 		if wait > 0 {
-			reply = r.Policy.Query(ctx, a, try, wait)
+			sent := a.resend(try)
+			reply = r.Policy.Query(ctx, sent, wait)
+			reply.Hash = sent.Hash
 		}
 		time.Sleep(oneWay)
 		s.Replies = append(s.Replies, reply)
