--- a/router/follow.go
+++ b/router/follow.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -46,6 +48,8 @@
 	leaving     func() bool
 	// renewNow asks for a renewal before the interval is over.
 	renewNow chan struct{}
+	// traffic records the bytes of messages to and from control.
+	traffic telemetry.Lease
 	// onLeader is told the leader's address as the member knows it.
 	onLeader func(addr string)
 }
@@ -165,7 +169,7 @@
 	s.seq++
 	s.sent[s.seq] = time.Now()
 	f := s.f
-	err := s.stream.Send(&pb.FollowRequest{
+	request := &pb.FollowRequest{
 		Vm:          string(f.vm.Name),
 		Incarnation: f.incarnation,
 		Seq:         s.seq,
@@ -174,8 +178,9 @@
 		RpcAddr:     f.vm.RPC.String(),
 		HttpAddr:    f.vm.HTTP.String(),
 		Leaving:     f.leaving(),
-	})
-	if err != nil {
+	}
+	f.traffic.Bytes(telemetry.Sent, proto.Size(request))
+	if err := s.stream.Send(request); err != nil {
 		return &rpc.ConnectionLostError{Addr: s.member.String(), Cause: err}
 	}
 	return nil
@@ -184,6 +189,7 @@
 // take applies a response's records, then extends the lease if the response
 // confirms what is applied. It reports whether the lease was extended.
 func (s *session) take(r *pb.FollowResponse) (bool, error) {
+	s.f.traffic.Bytes(telemetry.Received, proto.Size(r))
 	if err := s.apply(r); err != nil {
 		return false, err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -110,6 +110,7 @@
 		log:         r.cfg.Logs.Part(settings.PartLease),
 		leaving:     r.leaving.Load,
 		renewNow:    make(chan struct{}, 1),
+		traffic:     r.cfg.Metrics.Lease,
 		onLeader:    r.claims.setLeader,
 	}
 }
