--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -36,6 +37,8 @@
 			Active:  x.Active,
 
 			SafeToLose: x.SafeToLose,
+
+			SafeToLose: x.SafeToLose,
 		})
 	}
 	return out
@@ -51,7 +54,7 @@
 	if err != nil {
 		return &control.MemberRefusedError{ID: id, Reason: err.Error()}
 	}
-	return m.group.AddLearner(ctx, member)
+	return refused(id, m.group.AddLearner(ctx, member))
 }
 
 // Promote lets a learner vote that holds everything committed.
@@ -60,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	return m.group.Promote(ctx, consensus.MemberID(n))
+	return refused(id, m.group.Promote(ctx, consensus.MemberID(n)))
 }
 
 // Remove takes a member out of the group.
@@ -69,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	return m.group.Remove(ctx, consensus.MemberID(n))
+	return refused(id, m.group.Remove(ctx, consensus.MemberID(n)))
 }
 
 func parseID(id string) (uint64, error) {
@@ -79,3 +82,14 @@
 	}
 	return n, nil
 }
+
+// refused turns the group's refusals, after which nothing was changed, into the
+// type that operators see.
+func refused(id string, err error) error {
+	var membership *consensus.MembershipError
+	var wrong *group.WrongMemberError
+	if errors.As(err, &membership) || errors.As(err, &wrong) {
+		return &control.MemberRefusedError{ID: id, Reason: err.Error()}
+	}
+	return err
+}
