--- a/control/admin/members.go
+++ b/control/admin/members.go
@@ -35,6 +35,7 @@
 			ID: p.ID, Addr: p.RPC, Applied: m.Applied, Healthy: m.Healthy, Leader: p.RPC == lead.LeaderAddr,
 		})
 	}
+	markSafe(out)
 	return out
 }
 
--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -37,8 +37,6 @@
 			Active:  x.Active,
 
 			SafeToLose: x.SafeToLose,
-
-			SafeToLose: x.SafeToLose,
 		})
 	}
 	return out
