Drop the unused platform list setting; bound the claims that a router holds

Cause: the setting was read and used by nothing, so it promised what isn't there. The platform's list isn't used: a leaving router tells control itself. A claim that could never be settled was held in memory for good; those older than a minute are forgotten once there are 1024.

--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -86,8 +86,12 @@
 func refused(id string, err error) error {
 	var membership *consensus.MembershipError
 	var wrong *group.WrongMemberError
-	if errors.As(err, &membership) || errors.As(err, &wrong) {
-		return &control.MemberRefusedError{ID: id, Reason: err.Error()}
+	switch {
+	case errors.As(err, &membership):
+		return &control.MemberRefusedError{ID: id, Reason: string(membership.Reason)}
+	case errors.As(err, &wrong):
+		return &control.MemberRefusedError{ID: id, Reason: wrong.Error()}
+	default:
+		return err
 	}
-	return err
 }
--- a/router/claims.go
+++ b/router/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,10 @@
 	// claimTryTimeout bounds one try, so that a member that is cut off or frozen
 	// leaves time to ask another.
 	claimTryTimeout = 400 * time.Millisecond
+	// heldSweep is the number of held claims from which old ones are forgotten.
+	heldSweep = 1024
+	// heldFor is longer than anybody tries to settle a claim.
+	heldFor = time.Minute
 )
 
 // UnsettledClaimError says that the log may or may not have taken a claim.
@@ -42,14 +47,14 @@
 	next  int
 	links map[netip.AddrPort]*rpc.ClaimLink
 	// held gives the token of each key that is claimed here and not settled.
-	held map[string]uint64
+	held map[string]heldClaim
 }
 
 func newClaims(vm topology.VMName, incarnation uint64, members []netip.AddrPort) *claims {
 	return &claims{
 		vm: vm, incarnation: incarnation, members: members,
 		links: make(map[netip.AddrPort]*rpc.ClaimLink),
-		held:  make(map[string]uint64),
+		held:  make(map[string]heldClaim),
 	}
 }
 
@@ -96,13 +101,23 @@
 func (c *claims) hold(key string, token uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held[key] = token
+	now := time.Now()
+	if len(c.held) >= heldSweep {
+		maps.DeleteFunc(c.held, func(_ string, h heldClaim) bool { return now.Sub(h.since) > heldFor })
+	}
+	c.held[key] = heldClaim{token: token, since: now}
+}
+
+// heldClaim is a key that is claimed here and not settled.
+type heldClaim struct {
+	token uint64
+	since time.Time
 }
 
 func (c *claims) heldToken(key string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.held[key]
+	return c.held[key].token
 }
 
 func (c *claims) drop(key string) {
--- a/settings/control.go
+++ b/settings/control.go
@@ -42,11 +42,9 @@
 	Bootstrap bool
 	// Deployment is the first deployment, nil if the file names none.
 	Deployment *topology.Deployment
-	// PlatformList is the platform's list of VMs, empty if there is none.
-	PlatformList string
-	Pprof        bool
-	Log          Log
-	Bounds       Bounds
+	Pprof      bool
+	Log        Log
+	Bounds     Bounds
 }
 
 // LoadControl reads a control member's file and the deployment that it names.
@@ -58,16 +56,15 @@
 	}
 	s := d.one(sectionControl)
 	c := &Control{
-		VM:           readVM(s),
-		Region:       required(s, "region", nameOf[topology.Region]()),
-		Member:       MemberNumber(required(s, "member", countValue(maxMemberNumber))),
-		DataFolder:   required(s, "data_folder", folderValue(path)),
-		Members:      readMembers(d),
-		Bootstrap:    required(s, "bootstrap", boolValue),
-		PlatformList: optional(s, "platform_list", pathValue(path), ""),
-		Pprof:        optional(s, "pprof", boolValue, false),
-		Log:          readLog(d),
-		Bounds:       readBounds(d),
+		VM:         readVM(s),
+		Region:     required(s, "region", nameOf[topology.Region]()),
+		Member:     MemberNumber(required(s, "member", countValue(maxMemberNumber))),
+		DataFolder: required(s, "data_folder", folderValue(path)),
+		Members:    readMembers(d),
+		Bootstrap:  required(s, "bootstrap", boolValue),
+		Pprof:      optional(s, "pprof", boolValue, false),
+		Log:        readLog(d),
+		Bounds:     readBounds(d),
 	}
 	c.Deployment = readFirstDeployment(s, path, c)
 	checkMembers(s, c)
