Hold the capacity sums against a run at today's size

go run ./internal/capacity now also runs the whole system in one process (8 routers, 3 members, 89 targets).

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -48,6 +48,7 @@
 func TestPageIsWrittenFromAnyFigures(t *testing.T) {
 	f := &figures{Placed: []Placed{{Replicas: threeReplicas}, {Replicas: manyReplicas}}}
 	line := Slope{Key: "key", Points: []Point{{1, 1}, {2, 2}}, PerX: 1}
+	f.Today = Today{Shards: 27, Targets: 89, QueryMS: 1}
 	for _, s := range []*Slope{
 		&f.FanOutProcessor, &f.FanOutBytes, &f.OwnersProcessor, &f.OwnersMessages, &f.SearchProcessor, &f.WholePath,
 		&f.StreamMemory, &f.TargetMemory, &f.RenewalProcessor, &f.RenewalBytes, &f.DeltaBytes, &f.WholeBytes,
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -47,6 +47,7 @@
 	StreamMemory    Slope
 	TargetMemory    Slope
 
+	Today         Today
 	PlacementTime Slope
 	Placed        []Placed
 
--- a/internal/capacity/following.go
+++ b/internal/capacity/following.go
@@ -36,7 +36,8 @@
 
 func newMember(sh shape) (*member, error) {
 	st := state.New(state.DefaultLimits())
-	m := &member{state: st, log: controltest.New(st).Member(0)}
+	group := controltest.New(st)
+	m := &member{state: st, log: group.Member(0)}
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	if err := sh.fill(m.propose); err != nil {
 		return nil, err
@@ -46,6 +47,7 @@
 		return nil, err
 	}
 	m.bytes, m.addr = l.bytes, netip.MustParseAddrPort(l.Addr().String())
+	group.SetAddr(0, m.addr.String())
 	svc := service.New(service.Config{
 		Member: "a", State: st, Log: m.log, Logger: slog.New(slog.DiscardHandler),
 	})
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -54,7 +54,7 @@
 	for _, measure := range []func(*figures) error{
 		fanOutSlopes, ownersSlopes, searchProcessor, wholePathSlope, streamMemory, targetMemory,
 		renewalSlopes, deltaSlope, wholeSlopes, pushSlopes, placementSlopes, leaderIdle, memorySlopes,
-		historySlopes, idleSlopes, confirmSlopes, proposeSlope, diskSlopes,
+		historySlopes, idleSlopes, confirmSlopes, proposeSlope, diskSlopes, wholeToday,
 	} {
 		begun := time.Now()
 		if err := measure(f); err != nil {
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -8,6 +8,26 @@
 // DiskMiB is the size of a member's files with as many entries.
 func (s *sums) DiskMiB() float64 { return s.DiskBytes.At(entriesKept) / 1024 }
 
+// ControlToday is the sum for a router's messages with control at today's size.
+func (s *sums) ControlToday() float64 { return s.RenewalsPerSecond * s.RenewalBytes.PerX }
+
+// IdleToday is the sum for an idle system's processor time a second, in
+// milliseconds: heartbeats, decisions, renewals with a confirmation each.
+func (s *sums) IdleToday() float64 {
+	renewals := s.RenewalsPerSecond * routersToday
+	return s.GroupIdle.At(trialMembers) + s.LeaderIdle.At(routersToday) +
+		renewals*(s.RenewalProcessor.PerX+s.ConfirmProcessor.PerX)
+}
+
+// QueryToday is the sum for a query of all of today's shards, in milliseconds.
+func (s *sums) QueryToday() float64 { return s.WholePath.At(float64(s.Today.Shards)) / 1e3 }
+
+// QueryOver is how many times the sum a query took.
+func (s *sums) QueryOver() float64 { return s.Today.QueryMS / s.QueryToday() }
+
+// QueryCoresOver is the sum of a router's cores, raised as much.
+func (s *sums) QueryCoresOver() float64 { return s.QueryCores * s.QueryOver() }
+
 // bars holds the bars that sums are held against.
 type bars struct {
 	InForce, Latency, Core, Memory, Traffic, SetAside float64
