--- a/owner/choose_test.go
+++ b/owner/choose_test.go
@@ -107,3 +107,38 @@
 		}
 	})
 }
+
+func TestHedgeNeverSharesATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := pair
+		one.Replicas = 1
+		f := newFixture(t, one, faketarget.Steady(service, 2))
+		go f.ask("r1", "g/000", 400*time.Millisecond)
+		time.Sleep(service / 4)
+		h := f.routers["r1"].owner.Do(f.ctx, &pb.SubRequest{
+			Shard: "g/000", RequestId: "q", IndexVersion: 1, BudgetUs: 400_000, Hedge: true,
+		})
+		if h.GetStatus() != pb.SubStatus_SUB_STATUS_NOT_STARTED || f.startedAt("g/000-0") != 1 {
+			t.Errorf("got %v", h)
+		}
+	})
+}
+
+// TestUnseenRestartLetsOnlyTheColdLimitPass asks about three searches that a
+// warm target was to get at once when its idle connections turn out closed.
+func TestUnseenRestartLetsOnlyTheColdLimitPass(t *testing.T) {
+	r := &replica{ramp: serveFor(NewRamp(limits), 1, service, 400)}
+	s := &shard{replicas: []*replica{r}}
+	var runs []*running
+	for range 3 {
+		runs = append(runs, r.begin("q", time.Now()))
+	}
+	for i, run := range runs {
+		if got := s.closedIdle(r, run); got != (i == 0) {
+			t.Errorf("search %d: %v", i, got)
+		}
+	}
+	if r.ramp.Limit() != limits.ColdLimit {
+		t.Errorf("limit %d", r.ramp.Limit())
+	}
+}
