--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -85,6 +85,7 @@
 	routers []*process
 	client  *adminclient.Client
 	network *network
+	rpc     []string
 	web     []string
 }
 
@@ -175,7 +176,7 @@
 		file := c.write(t, fmt.Sprintf("control-%d.ini", i+1), c.controlFile(t, i, rpc, web))
 		c.members = append(c.members, c.start(t, "control", web[i], "peridotmux-control", "--settings", file))
 	}
-	c.web = web
+	c.rpc, c.web = rpc, web
 	c.client = adminclient.New(web)
 	routerRPC, routerHTTP := freeAddrs(t, routers), freeAddrs(t, routers)
 	for i := range routers {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -188,9 +189,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, m := range list.Members {
+	for _, m := range list.Members {
+		number, err := strconv.Atoi(m.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
 		if m.Leader {
-			return c.members[i]
+			return c.members[number-1]
 		}
 	}
 	t.Fatalf("no leader among %+v", list)
