Stay until the next owners were told of the released targets

Cause: a router that leaves ended as soon as no target was assigned to it. The next owners of its last batch could then no longer ask it, and waited for the lease of 3 s: fewer slots for that time. TestOwnerKnowsWhenNextOwnersWereTold fails when Released doesn't note whom it told, and when Told doesn't look.

--- a/owner/handover.go
+++ b/owner/handover.go
@@ -25,12 +25,26 @@
 			continue
 		}
 		if rt := h.released(time.Now()); rt != nil {
+			h.told = true
 			response.Targets = append(response.Targets, rt)
 		}
 	}
 	return response, nil
 }
 
+// Told reports whether the next owner of each target that this router gave up
+// was told so. A router that ends before costs those targets a lease.
+func (o *Owner) Told() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, h := range o.held {
+		if !h.told {
+			return false
+		}
+	}
+	return true
+}
+
 // released returns the hand-over of a target that is given up and at which
 // nothing runs, else nil.
 func (h *holding) released(now time.Time) *pb.ReleasedTarget {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -301,3 +301,25 @@
 		}
 	})
 }
+
+// A router that shuts down stays until the next owners were told, since they
+// would wait for a lease otherwise.
+func TestOwnerKnowsWhenNextOwnersWereTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, two, faketarget.Steady(service, 3))
+		f.assign("r1", 20)
+		time.Sleep(2 * lease.Duration)
+		f.routers["r2"].cut.Store(true)
+		f.assign("r2", 30)
+		time.Sleep(time.Second)
+		if f.routers["r1"].owner.Told() {
+			t.Error("the next owner hasn't learned of the assignment, but counts as told")
+		}
+		f.routers["r2"].cut.Store(false)
+		f.assign("r2", 31)
+		time.Sleep(time.Second)
+		if !f.routers["r1"].owner.Told() {
+			t.Error("the next owner asked, but doesn't count as told")
+		}
+	})
+}
--- a/owner/ownership.go
+++ b/owner/ownership.go
@@ -23,6 +23,8 @@
 	shard    *shard
 	replica  *replica
 	previous topology.VMName
+	// told is set once the next owner was told that the target is released.
+	told bool
 }
 
 // Run follows the board until ctx ends: it takes up targets assigned to this
@@ -125,7 +127,7 @@
 	if !again {
 		return
 	}
-	h.previous = a.Previous
+	h.previous, h.told = a.Previous, false
 	r.state, r.safe, r.fenceEnd = stateFenced, false, now.Add(lease.Duration)
 	s.replicas = append(s.replicas, r)
 	o.logTakeUp(r, a)
--- a/router/router.go
+++ b/router/router.go
@@ -157,6 +157,9 @@
 	drained := r.entry.Drain(ctx)
 	closed := r.http.Shutdown(ctx)
 	handed := r.waitHandedOver(ctx)
+	if handed == nil {
+		r.waitTold(ctx)
+	}
 	r.peers.close()
 	r.claims.close()
 	err := errors.Join(drained, closed, handed)
@@ -179,6 +182,25 @@
 	}
 }
 
+// toldPoll is the time between two looks whether the next owners were told.
+const toldPoll = 10 * time.Millisecond
+
+// waitTold lets the next owners hear that their targets are released. After a
+// lease they no longer need to.
+func (r *Router) waitTold(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	tick := time.NewTicker(toldPoll)
+	defer tick.Stop()
+	for r.othersStay() && !r.owner.Told() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (r *Router) ownsAny() bool {
 	for _, a := range r.board.View().Assignments {
 		if a.Owner == r.cfg.VM.Name {
