Smooth the pressure that limits admission

Ruled out: the targets' limits (warm after 12 s) and the lease. Change: pressure averaged over windows, limit from 0.3, first rate from the average offered one, no limit from 1.3 times the offered rate.

--- a/query/admission.go
+++ b/query/admission.go
@@ -13,6 +13,10 @@
 	// pressureTarget is the wait in owners' queues, as a share of the deadline,
 	// that the admitted rate is steered to.
 	pressureTarget = 0.2
+	// pressureStart is the pressure from which less than all is admitted.
+	pressureStart = 0.3
+	// pressureShare weighs a window in the average pressure.
+	pressureShare = 0.4
 	// steerLevel and steerSlope weigh how far the pressure is from its target,
 	// and how fast it moves.
 	steerLevel = 0.5
@@ -20,6 +24,8 @@
 	// steerDown and steerUp bound one step of the rate.
 	steerDown = 0.7
 	steerUp   = 1.1
+	// rateOff is how far the rate may pass the offered one before the limit ends.
+	rateOff = 1.3
 	// offeredShare weighs a window in the average offered rate.
 	offeredShare = 0.3
 	// admissionFloor is the least admitted rate, in cost a window.
@@ -41,7 +47,8 @@
 	Rate  float64
 	Kinds map[topology.KindName]KindDemand
 	// Observed sums the pressures seen in the window, as shares of the
-	// deadline; Observations counts them; Before is the mean of the last window.
+	// deadline; Observations counts them; Before is the average pressure of the
+	// windows before.
 	Observed, Before float64
 	Observations     int
 	// Admitted is the cost admitted in the window.
@@ -119,9 +126,9 @@
 		s.Kinds[name] = k
 		total += k.Offered
 	}
-	pressure := 0.0
+	pressure := (1 - pressureShare) * s.Before
 	if s.Observations > 0 {
-		pressure = s.Observed / float64(s.Observations)
+		pressure += pressureShare * s.Observed / float64(s.Observations)
 	}
 	s.steer(pressure, total)
 	s.Before, s.Observed, s.Observations, s.Admitted = pressure, 0, 0, 0
@@ -129,18 +136,19 @@
 }
 
 // steer moves the rate towards the target pressure. There is no limit until
-// the pressure first passes the target, nor once the rate is far above what is
-// offered.
+// the pressure passes its start, nor once the rate is far above what is
+// offered. The first rate is the average offered one, since a single window of
+// a quiet router holds few queries.
 func (s *AdmissionState) steer(pressure, total float64) {
 	if s.Rate == 0 {
-		if pressure <= pressureTarget {
+		if pressure <= pressureStart {
 			return
 		}
-		s.Rate = s.Admitted
+		s.Rate = max(total, admissionFloor)
 	}
 	factor := 1 + steerLevel*(pressureTarget-pressure) - steerSlope*(pressure-s.Before)
 	s.Rate = max(s.Rate*min(max(factor, steerDown), steerUp), admissionFloor)
-	if s.Rate > 2*total {
+	if s.Rate > rateOff*total {
 		s.Rate = 0
 	}
 }
