--- a/api/admin.go
+++ b/api/admin.go
@@ -269,6 +269,9 @@
 	Leaving     bool                `json:"leaving,omitempty"`
 	// Applied is the log index that the router had applied at its last renewal.
 	Applied uint64 `json:"applied"`
+	// ConfigVersion is the deployment's version in force there, 0 if it is one
+	// before the newest.
+	ConfigVersion uint64 `json:"config_version"`
 	// Current is true if the router has applied the newest records.
 	Current bool `json:"current"`
 	// LeaseMS is the longest that its lease may still run, 0 if it ran out.
--- a/cmd/peridotmux/status.go
+++ b/cmd/peridotmux/status.go
@@ -37,10 +37,10 @@
 	for _, q := range s.QuietTargets {
 		w.line("quiet target", quietText(&q))
 	}
-	w.printf("\nROUTER\tDATA CENTRE\tSTATE\tRECORDS\tLEASE\tSEEN\tOWNS\tMEMBER")
+	w.printf("\nROUTER\tDATA CENTRE\tSTATE\tCONFIG\tRECORDS\tLEASE\tSEEN\tOWNS\tMEMBER")
 	for _, r := range s.Routers {
-		w.printf("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s",
-			r.VM, r.DataCentre, routerState(&r), recordsText(&r), leaseText(&r), seenText(&r), r.Owns, r.Member)
+		w.printf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s",
+			r.VM, r.DataCentre, routerState(&r), configText(&r), recordsText(&r), leaseText(&r), seenText(&r), r.Owns, r.Member)
 	}
 	writeMembers(w, &api.MemberList{Members: s.Members})
 }
@@ -67,6 +67,13 @@
 	}
 }
 
+func configText(r *api.RouterStatus) string {
+	if r.ConfigVersion == 0 {
+		return "older"
+	}
+	return fmt.Sprint(r.ConfigVersion)
+}
+
 func recordsText(r *api.RouterStatus) string {
 	if r.Current {
 		return "current"
--- a/consensus/group/propose.go
+++ b/consensus/group/propose.go
@@ -75,6 +75,9 @@
 	if errors.Is(err, consensus.ErrNotLeader) {
 		err = &control.NotLeaderError{LeaderAddr: g.links.addrOf(g.node.Leader(), g.node.Membership())}
 	}
+	if errors.Is(err, consensus.ErrTooManyUncommitted) {
+		err = &NotAppendedError{Cause: err}
+	}
 	if err != nil {
 		p.done <- proposalResult{err: err}
 		return
--- a/control/admin/status.go
+++ b/control/admin/status.go
@@ -35,7 +35,8 @@
 		s.Targets = len(v.Topology.Deployment.Targets)
 		s.Unassigned = unassigned(v)
 	}
-	s.Routers = routerStatus(v, h.c.Reports.Routers(), h.c.State.RecordsIndex(), now)
+	newest := newestIndexes{records: h.c.State.RecordsIndex(), config: h.c.State.ConfigIndex()}
+	s.Routers = routerStatus(v, h.c.Reports.Routers(), newest, now)
 	return s, nil
 }
 
@@ -69,9 +70,14 @@
 	return out
 }
 
+// newestIndexes are the log indexes that wrote the newest records.
+type newestIndexes struct {
+	records, config uint64
+}
+
 // routerStatus joins the routers' records with what the members report.
 func routerStatus(
-	v *board.View, seen map[topology.VMName]service.Seen, newest uint64, now time.Time,
+	v *board.View, seen map[topology.VMName]service.Seen, newest newestIndexes, now time.Time,
 ) []api.RouterStatus {
 	owns := make(map[topology.VMName]int)
 	for _, a := range v.Assignments {
@@ -85,7 +91,10 @@
 		}
 		if known, ok := seen[name]; ok {
 			s.Applied = known.GetApplied()
-			s.Current = known.GetApplied() >= newest
+			s.Current = known.GetApplied() >= newest.records
+			if known.GetApplied() >= newest.config {
+				s.ConfigVersion = v.ConfigVersion
+			}
 			s.LeaseMS = max(0, known.LeaseUntil.Sub(now).Milliseconds())
 			s.SeenMS = now.Sub(known.At).Milliseconds()
 			s.Member = known.Member
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -148,6 +148,9 @@
 	if len(s.Routers) != 2 || s.Unassigned != 0 || s.Stale {
 		t.Fatalf("status: %+v", s)
 	}
+	if s.Routers[0].ConfigVersion != 0 || s.Routers[1].ConfigVersion != 1 {
+		t.Errorf("vm-1 told nothing applied, vm-2 the deployment: %+v", s.Routers)
+	}
 }
 
 // waitForAssignments receives records until both routers own targets.
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
 
@@ -174,6 +175,13 @@
 	return s.recordsIndex
 }
 
+// ConfigIndex returns the log index that wrote the newest deployment.
+func (s *State) ConfigIndex() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.records.records[rpc.KeyDeployment].GetVersion()
+}
+
 // Base returns the version that plans are made on.
 func (s *State) Base() uint64 {
 	s.mu.RLock()
