--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -52,6 +52,8 @@
 
 // process is one started program.
 type process struct {
+	// args are what it was started with: its name, its program and the flags.
+	args []string
 	cmd  *exec.Cmd
 	http string
 	done chan struct{}
@@ -126,7 +128,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(filepath.Join(programs, args[0]), args[1:]...), http: http, done: make(chan struct{})}
+	p := &process{
+		args: append([]string{name}, args...),
+		cmd:  exec.Command(filepath.Join(programs, args[0]), args[1:]...),
+		http: http, done: make(chan struct{}),
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -147,6 +153,12 @@
 	return p
 }
 
+// restart starts an ended process again with the same settings.
+func (c *cluster) restart(t *testing.T, p *process) *process {
+	t.Helper()
+	return c.start(t, p.args[0], p.http, p.args[1:]...)
+}
+
 func tail(path string) string {
 	data, _ := os.ReadFile(path)
 	const most = 1500
@@ -168,9 +180,11 @@
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{dir: t.TempDir(), network: newNetwork()}
-	deployment := c.write(t, "deployment.ini", deploymentFile(freeAddrs(t, shards*replicas)))
+	addrs := freeAddrs(t, (shards+1)*replicas)
+	c.write(t, "deployment.ini", deploymentFile(addrs, shards, replicas-1))
+	all := c.write(t, "repartitioned.ini", deploymentFile(addrs, shards+1, replicas))
 	c.ledger = freeAddrs(t, 1)[0]
-	c.start(t, "targets", "", "peridotmux-bench", "standin", "--deployment", deployment, "--ledger", c.ledger)
+	c.start(t, "targets", "", "peridotmux-bench", "standin", "--deployment", all, "--ledger", c.ledger)
 	rpc, web := freeAddrs(t, members), freeAddrs(t, members)
 	for i := range members {
 		file := c.write(t, fmt.Sprintf("control-%d.ini", i+1), c.controlFile(t, i, rpc, web))
@@ -194,7 +208,9 @@
 	return c
 }
 
-func deploymentFile(addrs []string) string {
+// deploymentFile has the given number of shards. The first shard has firstReplicas
+// replicas, the others all.
+func deploymentFile(addrs []string, shards, firstReplicas int) string {
 	var b strings.Builder
 	b.WriteString("[deployment]\nname = e2e\nregion = one\ndata_centres = dc-a, dc-b, dc-c\nhedge_budget = 0.02\nretry_budget = 0.02\n")
 	b.WriteString("[group g]\nslots = 3\nconnections = 30\nconnect_cost = 1ms\ncold_limit = 1\nwarm_after = 2s\n")
@@ -203,6 +219,9 @@
 	for s := range shards {
 		var list []string
 		for r := range replicas {
+			if s == 0 && r >= firstReplicas {
+				break
+			}
 			list = append(list, dataCentres[(s+r)%len(dataCentres)]+" "+addrs[s*replicas+r])
 		}
 		fmt.Fprintf(&b, "[shard g/%02d]\nreplicas = %s\n", s, strings.Join(list, ", "))
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -205,9 +205,14 @@
 // targets reads the deployment that the processes were started with.
 func (c *cluster) targets(t *testing.T) []topology.Target {
 	t.Helper()
-	d, err := settings.LoadDeployment(filepath.Join(c.dir, "deployment.ini"))
+	return c.deployment(t, "deployment.ini").Targets
+}
+
+func (c *cluster) deployment(t *testing.T, file string) *topology.Deployment {
+	t.Helper()
+	d, err := settings.LoadDeployment(filepath.Join(c.dir, file))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return d.Targets
+	return d
 }
