--- a/cmd/peridotmux-bench/main.go
+++ b/cmd/peridotmux-bench/main.go
@@ -23,7 +23,8 @@
 	registerLoad(app, commands)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
-		app.FatalUsage("%s", err)
+		app.Errorf("%s; --help lists the commands", err)
+		os.Exit(exitUsage)
 	}
 	if err := commands[selected](); err != nil {
 		app.Errorf("%s", err)
--- a/settings/check.go
+++ b/settings/check.go
@@ -16,6 +16,9 @@
 			return err
 		}
 	}
+	if len(d.faults) > 0 {
+		return d.result()
+	}
 	d.faults = append(d.faults, Fault{File: path, Expected: "a section [deployment], [router] or [control]"})
 	return d.result()
 }
