Repeat heartbeats while a leader's disk syncs

Cause: under load TestMembersElectProposeAndRestart once got "leadership was lost": the loop that syncs also sends heartbeats, so a sync longer than an election timeout ended the term. Ruled out: appending without waiting for the disk (more states to prove, and nothing may be sent before it is synced). Seen to fail without it: TestSlowSyncDoesNotSilenceTheLeader, 0 heartbeats in 1 s.

--- a/consensus/group/failure_test.go
+++ b/consensus/group/failure_test.go
@@ -10,6 +10,9 @@
 	"testing/synctest"
 	"time"
 
+	"storj.io/drpc"
+
+	"github.com/peridotmux/peridotmux/consensus"
 	"github.com/peridotmux/peridotmux/consensus/storage"
 	"github.com/peridotmux/peridotmux/control"
 )
@@ -18,6 +21,8 @@
 type memory struct {
 	storage.Engine
 	failing atomic.Bool
+	// slow is how long each write takes.
+	slow atomic.Int64
 }
 
 func (m *memory) Load() (map[string][]byte, []storage.Record, error) { return nil, nil, nil }
@@ -25,6 +30,7 @@
 func (m *memory) Close() error { return nil }
 
 func (m *memory) Write(storage.Batch) error {
+	time.Sleep(time.Duration(m.slow.Load()))
 	if m.failing.Load() {
 		return syscall.ENOSPC
 	}
@@ -107,3 +113,68 @@
 		t.Errorf("after the end: %v, want a NotAppendedError", err)
 	}
 }
+
+// elect answers the messages to member 2 until the group leads.
+func elect(g *Group, second consensus.DiskID) {
+	for !g.Leadership().Leads {
+		m := <-g.links.byID[2].queue
+		answer := consensus.Message{
+			Type: m.Type + 1, From: 2, FromDisk: second, To: 1, ToDisk: g.disk, Term: m.Term,
+		}
+		if m.Type == consensus.MsgPreVote || m.Type == consensus.MsgVote {
+			g.inbox <- answer
+		}
+		synctest.Wait()
+	}
+}
+
+func TestSlowSyncDoesNotSilenceTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &memory{}
+		store, state, err := storage.OpenEngine("memory", engine)
+		if err != nil {
+			t.Fatal(err)
+		}
+		state, err = store.Bootstrap(consensus.NewMembership(
+			consensus.Member{ID: 1, Disk: state.Disk}, consensus.Member{ID: 2, Disk: "b"}, consensus.Member{ID: 3, Disk: "c"},
+		), true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg := Config{
+			ID: 1, Name: "test", DataDir: "memory", StateMachine: &counter{},
+			Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}},
+			Dial: func(ctx context.Context, _ netip.AddrPort) (drpc.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		}
+		cfg.setDefaults()
+		g, err := newGroup(cfg, store, state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = g.Run(ctx) }()
+		synctest.Wait()
+		elect(g, "b")
+		time.Sleep(heartbeatInterval)
+		const stall = time.Second
+		engine.slow.Store(int64(stall))
+		go func() { _, _ = g.Propose(ctx, []byte("x")) }()
+		synctest.Wait()
+		g.links.byID[2].drop()
+		time.Sleep(stall - time.Millisecond)
+		heartbeats := 0
+		for len(g.links.byID[2].queue) > 0 {
+			if m := <-g.links.byID[2].queue; m.Type == consensus.MsgHeartbeat {
+				heartbeats++
+			}
+		}
+		if least := int(electionTimeout / heartbeatInterval); heartbeats < least {
+			t.Errorf("%d heartbeats while the disk took %v, want at least %d", heartbeats, stall, least)
+		}
+		cancel()
+		time.Sleep(2 * stall)
+	})
+}
--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -37,13 +37,15 @@
 	stopped   chan struct{}
 
 	// The rest, up to mu, belongs to the run loop.
-	node      *consensus.Node
-	links     *links
-	waiters   map[uint64]*proposal
-	confirm   confirmState
-	applied   uint64
-	lastTerm  uint64
-	snapIndex uint64
+	node       *consensus.Node
+	links      *links
+	waiters    map[uint64]*proposal
+	confirm    confirmState
+	applied    uint64
+	lastTerm   uint64
+	snapIndex  uint64
+	ticker     *time.Ticker
+	heartbeats []consensus.Message
 	// failure ends the run.
 	failure error
 
@@ -137,8 +139,8 @@
 }
 
 func (g *Group) loop(ctx context.Context) error {
-	ticker := time.NewTicker(g.cfg.TickInterval)
-	defer ticker.Stop()
+	g.ticker = time.NewTicker(g.cfg.TickInterval)
+	defer g.ticker.Stop()
 	for {
 		if err := g.work(); err != nil {
 			g.cfg.Log.Error("consensus member stops", "error", err)
@@ -147,7 +149,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-g.ticker.C:
 			g.tick()
 		case m := <-g.inbox:
 			g.node.Step(m)
--- a/consensus/group/link.go
+++ b/consensus/group/link.go
@@ -60,13 +60,13 @@
 			k.cfg.Log.Info("consensus link lost", "addr", k.addr.String(), "error", err)
 		}
 		up = false
-		k.forget()
+		k.drop()
 		timer.Reset(redialInterval)
 	}
 }
 
-// forget drops what waits: it is out of date once a connection stands again.
-func (k *link) forget() {
+// drop forgets what waits: it is out of date once a connection stands again.
+func (k *link) drop() {
 	for {
 		select {
 		case <-k.queue:
--- a/consensus/group/work.go
+++ b/consensus/group/work.go
@@ -16,6 +16,7 @@
 		}
 		g.links.sync(g.node.Membership())
 		g.links.send(r.Messages)
+		g.keepHeartbeats(r.Messages)
 		g.apply(r.Committed)
 		g.node.Advance(r)
 		g.noteLeadership()
@@ -34,12 +35,14 @@
 		return nil
 	}
 	g.initialized.Store(true)
-	if r.Snapshot != nil {
-		if err := g.store.Install(r.HardState, *r.Snapshot); err != nil {
-			return err
+	return g.save(func() error {
+		if r.Snapshot != nil {
+			if err := g.store.Install(r.HardState, *r.Snapshot); err != nil {
+				return err
+			}
 		}
-	}
-	return g.store.Save(r.HardState, r.Entries)
+		return g.store.Save(r.HardState, r.Entries)
+	})
 }
 
 func (g *Group) restore(s *consensus.Snapshot) error {
@@ -83,7 +86,7 @@
 	}
 	s := consensus.Snapshot{Data: data}
 	s.Index, s.Term, s.Membership = g.applied, g.lastTerm, g.node.MembershipAt(g.applied)
-	if err := g.store.SaveSnapshot(s); err != nil {
+	if err := g.save(func() error { return g.store.SaveSnapshot(s) }); err != nil {
 		return err
 	}
 	keep := s.Index - min(s.Index, g.cfg.TrailingEntries)
