--- a/control/admin/admin.go
+++ b/control/admin/admin.go
@@ -63,6 +63,10 @@
 	h.handle(http.MethodGet, api.PathStatus, h.status)
 	h.handle(http.MethodGet, api.PathMembers, h.members)
 	h.handle(http.MethodPost, api.PathMembers, h.changeMember)
+	unknown := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.refuse(w, r, refusal(api.CodeNotFound, "there is no such path or method"))
+	})
+	h.router.NotFoundHandler, h.router.MethodNotAllowedHandler = unknown, unknown
 	return h
 }
 
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -20,15 +20,13 @@
 	"github.com/peridotmux/peridotmux/control/state"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
-const (
-	// headerTimeout bounds the time that a client takes for the headers.
-	headerTimeout = 5 * time.Second
-	// shutdownTimeout bounds the time that requests get to end.
-	shutdownTimeout = 5 * time.Second
-)
+// shutdownTimeout bounds the time that requests get to end.
+const shutdownTimeout = 5 * time.Second
 
 // Group is what the consensus package gives a member.
 type Group struct {
@@ -56,6 +54,8 @@
 	Group  GroupFactory
 	Limits state.Limits
 	Logger *slog.Logger
+	// Bounds limits what the HTTP server takes; zero for the default.
+	Bounds settings.Bounds
 	// Pages adds other pages to the HTTP server, such as metrics; may be nil.
 	Pages func(*mux.Router)
 	// First is the deployment of a group that has none yet; may be nil.
@@ -125,15 +125,21 @@
 	if c.Pages != nil {
 		c.Pages(r)
 	}
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: api.MaxHeaderBytes}
-	stop := context.AfterFunc(ctx, func() {
+	bounds := c.Bounds
+	if bounds == (settings.Bounds{}) {
+		bounds = settings.DefaultBounds
+	}
+	srv := telemetry.NewServer(r, bounds, c.Logger)
+	ended := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = srv.Shutdown(ctx)
 	})
-	defer stop()
-	if err := srv.Serve(c.HTTP); err != nil && ctx.Err() == nil {
+	if err := srv.Serve(c.HTTP); ctx.Err() == nil {
 		return err
 	}
+	<-ended
 	return nil
 }
