Report the owners' load and cold targets to control

Cause: plans assumed a load of half the slots, and status couldn't tell which targets are cold. Change: renewals carry the mean load by group and the cold targets; a plan uses a load only if the reports cover nine tenths of the group's slots; status lists the cold targets. Seen to fail without: the coverage of the reports, the load of targets.

--- a/api/admin.go
+++ b/api/admin.go
@@ -236,20 +236,22 @@
 
 // Status tells the state of the system.
 type Status struct {
-	Deployment    string                   `json:"deployment"`
-	ConfigVersion uint64                   `json:"config_version"`
-	Base          uint64                   `json:"base"`
-	Index         uint64                   `json:"index"`
-	Routers       []RouterStatus           `json:"routers"`
-	QuietDCs      []QuietStatus            `json:"quiet_data_centres"`
-	QuietTargets  []QuietStatus            `json:"quiet_targets"`
-	NonIdempotent []topology.KindName      `json:"non_idempotent"`
-	Targets       int                      `json:"targets"`
-	Unassigned    int                      `json:"unassigned_targets"`
-	Members       []MemberStatus           `json:"members"`
-	Leader        string                   `json:"leader"`
-	Term          uint64                   `json:"term"`
-	Loads         map[string]ReportedLoads `json:"loads,omitempty"`
+	Deployment    string              `json:"deployment"`
+	ConfigVersion uint64              `json:"config_version"`
+	Base          uint64              `json:"base"`
+	Index         uint64              `json:"index"`
+	Routers       []RouterStatus      `json:"routers"`
+	QuietDCs      []QuietStatus       `json:"quiet_data_centres"`
+	QuietTargets  []QuietStatus       `json:"quiet_targets"`
+	NonIdempotent []topology.KindName `json:"non_idempotent"`
+	Targets       int                 `json:"targets"`
+	Unassigned    int                 `json:"unassigned_targets"`
+	// Cold lists targets in a cold start, as their owners last reported.
+	Cold    []topology.TargetID      `json:"cold_targets"`
+	Members []MemberStatus           `json:"members"`
+	Leader  string                   `json:"leader"`
+	Term    uint64                   `json:"term"`
+	Loads   map[string]ReportedLoads `json:"loads,omitempty"`
 	// Stale is true if the member that answered knew no leader. Its records
 	// may be outdated then and it can't tell which leases run.
 	Stale bool `json:"stale,omitempty"`
--- a/cmd/peridotmux/status.go
+++ b/cmd/peridotmux/status.go
@@ -30,6 +30,7 @@
 	w.line("base version", fmt.Sprint(s.Base))
 	w.line("targets", fmt.Sprintf("%d, %d without a live owner", s.Targets, s.Unassigned))
 	w.line("leader", fmt.Sprintf("%s in term %d", s.Leader, s.Term))
+	w.line("cold targets", names(s.Cold))
 	w.line("non-idempotent", names(s.NonIdempotent))
 	for _, q := range s.QuietDCs {
 		w.line("quiet data centre", quietText(&q))
--- a/control/admin/status.go
+++ b/control/admin/status.go
@@ -28,6 +28,7 @@
 		QuietDCs:      quietStatus(v.QuietDCs),
 		QuietTargets:  quietStatus(v.QuietTargets),
 		Members:       h.memberStatus(now),
+		Cold:          h.c.Reports.Cold(now),
 		Loads:         loads(h.c.Reports.Loads(now)),
 	}
 	if v.Topology != nil {
--- a/control/plan/capacity.go
+++ b/control/plan/capacity.go
@@ -78,15 +78,30 @@
 	c := api.GroupCapacity{
 		Group: g.Name, Shard: shard, Slots: replicas * g.Slots, SlotsOut: left * g.Slots,
 	}
-	share := AssumedLoad
-	if load, ok := m.Loads[g.Name]; ok && load.Open > 0 {
+	if load, ok := m.Loads[g.Name]; ok && m.complete(g, load) {
 		// Reported slots are those of all of the group's shards together.
 		c.Reported = true
 		c.Needed = load.Busy / float64(len(g.Shards))
 		return c
 	}
-	c.Needed = share * float64(c.Slots)
+	c.Needed = AssumedLoad * float64(c.Slots)
 	return c
 }
 
+// complete reports whether a reported load covers nearly all targets of the
+// group that receive work now. Less would make the load look smaller than it is.
+func (m *maker) complete(g *topology.Group, load api.ReportedLoads) bool {
+	if m.View.Topology == nil {
+		return false
+	}
+	slots := 0
+	for i := range m.View.Topology.Deployment.Targets {
+		t := &m.View.Topology.Deployment.Targets[i]
+		if t.Group == g.Name && !m.View.IsQuiet(t) {
+			slots += g.Slots
+		}
+	}
+	return load.Open > 0 && load.Open >= coveredLoad*float64(slots)
+}
+
 func headroom(c api.GroupCapacity) float64 { return float64(c.SlotsOut) - c.Needed }
--- a/control/plan/plan.go
+++ b/control/plan/plan.go
@@ -17,6 +17,8 @@
 	// AssumedLoad is the share of all slots that is taken to be in use where no
 	// load is reported.
 	AssumedLoad = 0.5
+	// coveredLoad is the share of a group's slots that reports must cover to count.
+	coveredLoad = 0.9
 	// MaxShards bounds the shards that a plan lists.
 	MaxShards = 64
 	// MaxChanges bounds the changes of the deployment that a plan lists.
--- a/control/plan/plan_test.go
+++ b/control/plan/plan_test.go
@@ -53,6 +53,11 @@
 			name: "two thirds at a low load", spec: api.IntentSpec{Kind: api.IntentTakeOut, DataCentre: "aarau-c"},
 			view: quietOlten, loads: map[topology.GroupName]api.ReportedLoads{"desk": {Busy: 4, Open: 36}},
 		},
+		{
+			name: "a load reported of a part only", spec: api.IntentSpec{Kind: api.IntentTakeOut, DataCentre: "aarau-c"},
+			view: quietOlten, loads: map[topology.GroupName]api.ReportedLoads{"desk": {Busy: 1, Open: 20}},
+			want: []api.PlanReason{api.PlanCapacity},
+		},
 		{
 			name: "one third at a high load", spec: api.IntentSpec{Kind: api.IntentTakeOut, DataCentre: "bern-a"},
 			loads: map[topology.GroupName]api.ReportedLoads{"desk": {Busy: 30, Open: 36}},
--- a/control/service/reports.go
+++ b/control/service/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,6 +124,21 @@
 	return out
 }
 
+// Cold lists the targets that routers reported as cold, in order.
+func (r *Reports) Cold(now time.Time) []topology.TargetID {
+	var out []topology.TargetID
+	for _, s := range r.Routers() {
+		if now.Sub(s.At) > routerSilence {
+			continue
+		}
+		for _, t := range s.GetCold() {
+			out = append(out, topology.TargetID(t))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // reportLoop tells the leader which routers this member serves.
 func (s *Service) reportLoop(ctx context.Context) {
 	tick := time.NewTicker(reportInterval)
--- a/control/service/seats.go
+++ b/control/service/seats.go
@@ -71,6 +71,7 @@
 			SilentUs:    uint64(silent.Microseconds()),
 			LeaseUs:     uint64(max(0, c.leaseUntil.Sub(now).Microseconds())),
 			Loads:       q.GetLoads(),
+			Cold:        q.GetCold(),
 		})
 	}
 	return out
--- a/control/service/slope_test.go
+++ b/control/service/slope_test.go
@@ -35,6 +35,14 @@
 	slopeReplicas = 10
 )
 
+// slopeLoads is what a router of the users' four groups reports.
+var slopeLoads = []*pb.GroupLoad{
+	{Group: "agent-desk", Busy: 7.31, Open: 18},
+	{Group: "coop-portal", Busy: 3.77, Open: 24},
+	{Group: "archive-reader", Busy: 9.13, Open: 12},
+	{Group: "notice-mailer", Busy: 0.41, Open: 6},
+}
+
 // meter counts what passes the connections of a listener.
 type meter struct {
 	net.Listener
@@ -87,7 +95,7 @@
 		for seq := uint64(1); ; seq++ {
 			err := s.Send(&pb.FollowRequest{
 				Vm: vm, Incarnation: 1 << 60, Seq: seq, Applied: n.applied.Load(), DataCentre: "dc-a",
-				RpcAddr: "127.0.0.1:20001", HttpAddr: "127.0.0.1:20002",
+				RpcAddr: "127.0.0.1:20001", HttpAddr: "127.0.0.1:20002", Loads: slopeLoads,
 			})
 			if err != nil {
 				return
--- a/router/follow.go
+++ b/router/follow.go
@@ -46,6 +46,9 @@
 	lease       *lease.Lease
 	log         *slog.Logger
 	leaving     func() bool
+	// load returns the load of the owned targets; nil tells none.
+	load  func() telemetry.OwnerLoad
+	meter loadMeter
 	// renewNow asks for a renewal before the interval is over.
 	renewNow chan struct{}
 	// traffic records the bytes of messages to and from control.
@@ -179,6 +182,9 @@
 		HttpAddr:    f.vm.HTTP.String(),
 		Leaving:     f.leaving(),
 	}
+	if f.load != nil {
+		request.Loads, request.Cold = f.meter.report(f.load(), f.board.View().Topology)
+	}
 	f.traffic.Bytes(telemetry.Sent, proto.Size(request))
 	if err := s.stream.Send(request); err != nil {
 		return &rpc.ConnectionLostError{Addr: s.member.String(), Cause: err}
--- a/router/router.go
+++ b/router/router.go
@@ -109,6 +109,7 @@
 		lease:       r.lease,
 		log:         r.cfg.Logs.Part(settings.PartLease),
 		leaving:     r.leaving.Load,
+		load:        r.owner.Load,
 		renewNow:    make(chan struct{}, 1),
 		traffic:     r.cfg.Metrics.Lease,
 		onLeader:    r.claims.setLeader,
