--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -62,8 +62,10 @@
 		Limits: state.DefaultLimits(),
 		Logger: logs.Part(settings.PartControl),
 		Bounds: s.Bounds,
-		First:  s.Deployment,
-		Pages:  func(m *mux.Router) { m.Handle(api.PathMetrics, metrics.Handler()) },
+
+		Metrics: metrics.Control,
+		First:   s.Deployment,
+		Pages:   func(m *mux.Router) { m.Handle(api.PathMetrics, metrics.Handler()) },
 		Group: func(_ context.Context, sm control.StateMachine) (*server.Group, error) {
 			return openGroup(s, sm, logs.Part(settings.PartConsensus))
 		},
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -54,6 +54,8 @@
 	Group  GroupFactory
 	Limits state.Limits
 	Logger *slog.Logger
+	// Metrics may be zero.
+	Metrics telemetry.Control
 	// Bounds limits what the HTTP server takes; zero for the default.
 	Bounds settings.Bounds
 	// Pages adds other pages to the HTTP server, such as metrics; may be nil.
@@ -70,7 +72,9 @@
 	if err != nil {
 		return err
 	}
-	svc := service.New(service.Config{Member: c.Member, State: st, Log: group.Log, Logger: c.Logger})
+	svc := service.New(service.Config{
+		Member: c.Member, State: st, Log: group.Log, Logger: c.Logger, Metrics: c.Metrics,
+	})
 	if group.Run != nil {
 		work.Go(func() error { return group.Run(ctx) })
 	}
--- a/control/service/controllers.go
+++ b/control/service/controllers.go
@@ -8,6 +8,7 @@
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/control/state"
+	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -32,6 +33,7 @@
 	// planExpires is when the oldest plan expires, zero if there is none.
 	planExpires time.Time
 	logger      *slog.Logger
+	metrics     *telemetry.Control
 }
 
 // controller decides on one matter. Controllers don't know of each other: they
@@ -98,6 +100,7 @@
 		routers:      s.reports.Routers(),
 		unsettled:    s.state.Unsettled(),
 		logger:       s.logger,
+		metrics:      &s.metrics,
 	}
 	f.planExpires, _ = s.state.PlanExpires()
 	return f
--- a/control/service/follow.go
+++ b/control/service/follow.go
@@ -146,6 +146,7 @@
 		return nil
 	}
 	f.sent = d.Index
+	f.s.metrics.Pushed(len(d.Records))
 	return f.stream.Send(&pb.FollowResponse{Snapshot: d.Snapshot, Records: d.Records, Index: d.Index})
 }
 
@@ -160,6 +161,7 @@
 		f.sent = q.GetApplied()
 	}
 	f.fill(response)
+	f.s.metrics.Renewed(c.err == nil)
 	if c.err != nil {
 		f.s.logger.Warn("lease not confirmed", "router", f.vm, "cause", c.err)
 		return f.stream.Send(response)
@@ -183,4 +185,5 @@
 	f.sent = d.Index
 	response.Snapshot = d.Snapshot
 	response.Records = d.Records
+	f.s.metrics.Pushed(len(d.Records))
 }
--- a/control/service/placer.go
+++ b/control/service/placer.go
@@ -51,6 +51,7 @@
 		c.Assign[i] = state.Assign{Target: m.Target, Owner: m.To}
 		f.logger.Info("placement", "target", m.Target, "shard", m.Shard,
 			"from", m.From, "to", m.To, "reason", m.Reason)
+		f.metrics.Moved(string(m.Reason))
 	}
 	return []state.Command{c}
 }
--- a/control/service/service.go
+++ b/control/service/service.go
@@ -9,6 +9,7 @@
 	"github.com/peridotmux/peridotmux/control/state"
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/telemetry"
 )
 
 const (
@@ -28,6 +29,8 @@
 	State  *state.State
 	Log    control.Log
 	Logger *slog.Logger
+	// Metrics may be zero.
+	Metrics telemetry.Control
 }
 
 // Service serves routers and the other members. Run must run meanwhile.
@@ -42,6 +45,7 @@
 	seats   *seats
 	reports *Reports
 	batcher *claimBatcher
+	metrics telemetry.Control
 }
 
 // New returns a service.
@@ -54,6 +58,7 @@
 		seats:   newSeats(),
 		reports: NewReports(),
 		batcher: newClaimBatcher(c.Log),
+		metrics: c.Metrics,
 	}
 }
 
--- /dev/null
+++ b/telemetry/control.go
@@ -0,0 +1,46 @@
+package telemetry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Control records what a member of control does. Its zero value records
+// nothing.
+type Control struct {
+	renewals metric.Int64Counter
+	pushed   metric.Int64Counter
+	claims   metric.Int64Counter
+	moves    metric.Int64Counter
+}
+
+func newControl(b *builder) Control {
+	return Control{
+		renewals: b.counter("peridot.control.renewals", "{renewal}", "Renewals answered, by whether they gave a lease."),
+		pushed:   b.counter("peridot.control.pushed", "{record}", "Records sent to routers."),
+		claims:   b.counter("peridot.control.claims", "{claim}", "Claims answered, by status."),
+		moves:    b.counter("peridot.control.moves", "{move}", "Targets given to another router, by reason."),
+	}
+}
+
+// Renewed counts an answered renewal.
+func (c *Control) Renewed(confirmed bool) {
+	add(c.renewals, 1, attribute.Bool("confirmed", confirmed))
+}
+
+// Pushed counts records sent to a router.
+func (c *Control) Pushed(records int) { add(c.pushed, records) }
+
+// Claimed counts an answered claim.
+func (c *Control) Claimed(status string) { add(c.claims, 1, attribute.String("status", status)) }
+
+// Moved counts a move of a target.
+func (c *Control) Moved(reason string) { add(c.moves, 1, attribute.String("reason", reason)) }
+
+func add(c metric.Int64Counter, n int, attrs ...attribute.KeyValue) {
+	if c != nil {
+		c.Add(context.Background(), int64(n), metric.WithAttributes(attrs...))
+	}
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -30,9 +30,10 @@
 // Metrics holds the metrics of one process and the recorders that its parts
 // call.
 type Metrics struct {
-	Query Query
-	Owner Owner
-	Lease Lease
+	Query   Query
+	Owner   Owner
+	Lease   Lease
+	Control Control
 
 	registry *prometheus.Registry
 	provider *sdk.MeterProvider
@@ -52,6 +53,7 @@
 	m.Query = newQuery(b)
 	m.Owner = newOwner(b)
 	m.Lease = newLease(b)
+	m.Control = newControl(b)
 	if b.err != nil {
 		return nil, b.err
 	}
