--- a/control/server/history_test.go
+++ b/control/server/history_test.go
@@ -354,3 +354,13 @@
 		t.Errorf("status: %d, stale %t", status, s.Stale)
 	}
 }
+
+func TestUnknownPathsAreRefusedWithAType(t *testing.T) {
+	_, peers := startGroup(t, 1)
+	for _, path := range []string{"/nope", "/v1/nope", "/v1/status/x"} {
+		var f api.Refusal
+		if status := call(t, http.MethodGet, peers[0].HTTP, path, nil, &f); status != http.StatusNotFound || f.Code != api.CodeNotFound {
+			t.Errorf("%s: %d %+v", path, status, f)
+		}
+	}
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -129,6 +129,11 @@
 	if c.Pages != nil {
 		c.Pages(r)
 	}
+	unknown := telemetry.RefuseHandler(&api.Refusal{
+		Code: api.CodeNotFound, Message: "there is no such path or method",
+		Execution: api.NotRun, Status: http.StatusNotFound,
+	})
+	r.NotFoundHandler, r.MethodNotAllowedHandler = unknown, unknown
 	bounds := c.Bounds
 	if bounds == (settings.Bounds{}) {
 		bounds = settings.DefaultBounds
