--- a/query/pressure.go
+++ b/query/pressure.go
@@ -9,7 +9,7 @@
 
 // pressureRank is the share of a query's shards whose pressure may be higher
 // than what counts: a few shards in trouble don't make an overload.
-const pressureRank = 0.1
+const pressureRank = 0.3
 
 // notePressure remembers what a reply tells of the wait at an owner, as a share
 // of the query's time.
