--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -62,6 +62,7 @@
 	PushProcessor Slope
 	StateMemory   Slope
 	ClaimMemory   Slope
+	IntentMemory  Slope
 
 	GroupIdle        Slope
 	GroupIdleBytes   Slope
--- a/internal/capacity/leading.go
+++ b/internal/capacity/leading.go
@@ -144,6 +144,22 @@
 	if err != nil {
 		return err
 	}
+	intents := Slope{
+		Key: "intent-memory", Title: "Settled intents in memory, in force at 810 routers",
+		XLabel: "intents", YLabel: "KiB",
+	}
+	intents, err = measureSizes(intents, []int{100, 200, 400}, func(n int) (float64, error) {
+		return heldBy(func(s *state.State) error {
+			if err := (shape{nodesAhead, threeReplicas}).fill(direct(s)); err != nil {
+				return err
+			}
+			return (&entryLog{state: s}).changes(n)
+		})
+	})
+	if err != nil {
+		return err
+	}
+	f.IntentMemory = intents
 	claims, err = measureSizes(claims, []int{5_000, 10_000, 20_000}, func(n int) (float64, error) {
 		return heldBy(func(s *state.State) error { return claimKeys(s, n) })
 	})
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -58,7 +58,7 @@
 		fanOutAhead, fanOutAhead, s.OwnersAsked, s.OwnersAsked, s.PerNodeSubRequests(), fanOutAhead,
 		nodesAhead - 1, targetConnections, s.Followers, s.Followers, float64(s.Placed[0].Lost[2]), nodesAhead,
 		replicasAhead, s.Followers, s.Followers, nodesAhead, nodesAhead, nodesAhead,
-		claimsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
+		claimsKept, intentsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
 		s.DeploymentKiB(), entriesKept, entriesKept, changesAhead, intentsKept, changesAhead,
 	}
 	slopes := s.slopes()
@@ -121,9 +121,6 @@
 // DeploymentKiB is the size of the deployment's record.
 func (s *sums) DeploymentKiB() float64 { return s.DeploymentBytes.At(replicasAhead) }
 
-// ShardBytes is the size of the deployment's part for one shard.
-func (s *sums) ShardBytes() float64 { return s.DeploymentBytes.PerX * 1024 * threeReplicas }
-
 // BusiestCores is what the router with most first sub-requests takes.
 func (s *sums) BusiestCores() float64 { return s.QueryCores * s.Placed[0].BusiestShare }
 
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -84,6 +84,7 @@
 	PushMS           float64
 	MemberMemoryMiB  float64
 	ClaimsMiB        float64
+	IntentsMiB       float64
 	ClaimRate        float64
 	ClaimShare       float64
 	MemberConfirmCPU float64
@@ -167,14 +168,15 @@
 	s.PushMS = s.PushTime.At(s.Followers)
 	s.PushCPUDay = perSecond(changesAhead*s.PushProcessor.At(s.Followers)) / 10
 	s.ClaimsMiB = s.ClaimMemory.At(claimsKept) / 1024
-	s.MemberMemoryMiB = s.StateMemory.At(nodesAhead)/1024 + s.ClaimsMiB
+	s.IntentsMiB = s.IntentMemory.PerX * intentsKept / 1024
+	s.MemberMemoryMiB = s.StateMemory.At(nodesAhead)/1024 + s.ClaimsMiB + s.IntentsMiB
 	s.ClaimRate = claimsKept / state.DefaultLimits().KeyAge.Seconds()
 	s.ClaimShare = 100 * s.ClaimRate / queriesAhead
 	s.LogADayMiB = s.LogBytes.At(changesAhead) / 1024
 	s.LogWholeADayMiB = changesAhead * s.DeploymentBytes.At(replicasAhead) / 1024
 	s.SnapshotMiB = s.SnapshotBytes.At(intentsKept) / 1024
 	s.ReplayDayMS = s.ReplayTime.At(changesAhead)
-	s.ReplayHundredsMS = s.ReplayTime.At(500)
+	s.ReplayHundredsMS = s.ReplayTime.At(400)
 }
 
 func (s *sums) workFailures() {
@@ -188,7 +190,7 @@
 		f.FanOutProcessor, f.FanOutBytes, f.OwnersProcessor, f.OwnersMessages, f.SearchProcessor, f.WholePath,
 		f.StreamMemory, f.TargetMemory, f.RenewalProcessor, f.RenewalBytes, f.DeltaBytes, f.WholeBytes,
 		f.DeploymentBytes, f.PushTime, f.PushProcessor, f.PlacementTime, f.LeaderIdle, f.StateMemory,
-		f.ClaimMemory, f.GroupIdle, f.GroupIdleBytes, f.ConfirmProcessor, f.ConfirmBytes, f.ProposeTime,
+		f.ClaimMemory, f.IntentMemory, f.GroupIdle, f.GroupIdleBytes, f.ConfirmProcessor, f.ConfirmBytes, f.ProposeTime,
 		f.DiskBytes, f.LoadTime, f.LogBytes, f.SnapshotBytes, f.ReplayTime,
 	}
 }
