--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -188,9 +189,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, m := range list.Members {
+	for _, m := range list.Members {
+		number, err := strconv.Atoi(m.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
 		if m.Leader {
-			return c.members[i]
+			return c.members[number-1]
 		}
 	}
 	t.Fatalf("no leader among %+v", list)
@@ -200,9 +205,14 @@
 // targets reads the deployment that the processes were started with.
 func (c *cluster) targets(t *testing.T) []topology.Target {
 	t.Helper()
-	d, err := settings.LoadDeployment(filepath.Join(c.dir, "deployment.ini"))
+	return c.deployment(t, "deployment.ini").Targets
+}
+
+func (c *cluster) deployment(t *testing.T, file string) *topology.Deployment {
+	t.Helper()
+	d, err := settings.LoadDeployment(filepath.Join(c.dir, file))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return d.Targets
+	return d
 }
