--- a/router/router.go
+++ b/router/router.go
@@ -131,7 +131,7 @@
 	wg.Go(func() { failed <- rpc.Serve(base, r.cfg.RPCListener, r.register) })
 	wg.Go(func() { failed <- r.http.Serve(r.cfg.HTTPListener) })
 	r.log.Info("router started", "vm", r.cfg.VM.Name, "incarnation", r.cfg.Incarnation,
-		"http", r.cfg.HTTPListener.Addr(), "rpc", r.cfg.RPCListener.Addr())
+		"http", r.cfg.HTTPListener.Addr().String(), "rpc", r.cfg.RPCListener.Addr().String())
 	select {
 	case err := <-failed:
 		_ = r.http.Close()
