--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -61,8 +61,11 @@
 		HTTP:   httpListener,
 		Limits: state.DefaultLimits(),
 		Logger: logs.Part(settings.PartControl),
-		First:  s.Deployment,
-		Pages:  func(m *mux.Router) { m.Handle(api.PathMetrics, metrics.Handler()) },
+		Bounds: s.Bounds,
+
+		Metrics: metrics.Control,
+		First:   s.Deployment,
+		Pages:   func(m *mux.Router) { m.Handle(api.PathMetrics, metrics.Handler()) },
 		Group: func(_ context.Context, sm control.StateMachine) (*server.Group, error) {
 			return openGroup(s, sm, logs.Part(settings.PartConsensus))
 		},
