--- a/api/admin.go
+++ b/api/admin.go
@@ -236,20 +236,22 @@
 
 // Status tells the state of the system.
 type Status struct {
-	Deployment    string                   `json:"deployment"`
-	ConfigVersion uint64                   `json:"config_version"`
-	Base          uint64                   `json:"base"`
-	Index         uint64                   `json:"index"`
-	Routers       []RouterStatus           `json:"routers"`
-	QuietDCs      []QuietStatus            `json:"quiet_data_centres"`
-	QuietTargets  []QuietStatus            `json:"quiet_targets"`
-	NonIdempotent []topology.KindName      `json:"non_idempotent"`
-	Targets       int                      `json:"targets"`
-	Unassigned    int                      `json:"unassigned_targets"`
-	Members       []MemberStatus           `json:"members"`
-	Leader        string                   `json:"leader"`
-	Term          uint64                   `json:"term"`
-	Loads         map[string]ReportedLoads `json:"loads,omitempty"`
+	Deployment    string              `json:"deployment"`
+	ConfigVersion uint64              `json:"config_version"`
+	Base          uint64              `json:"base"`
+	Index         uint64              `json:"index"`
+	Routers       []RouterStatus      `json:"routers"`
+	QuietDCs      []QuietStatus       `json:"quiet_data_centres"`
+	QuietTargets  []QuietStatus       `json:"quiet_targets"`
+	NonIdempotent []topology.KindName `json:"non_idempotent"`
+	Targets       int                 `json:"targets"`
+	Unassigned    int                 `json:"unassigned_targets"`
+	// Cold lists targets in a cold start, as their owners last reported.
+	Cold    []topology.TargetID      `json:"cold_targets"`
+	Members []MemberStatus           `json:"members"`
+	Leader  string                   `json:"leader"`
+	Term    uint64                   `json:"term"`
+	Loads   map[string]ReportedLoads `json:"loads,omitempty"`
 	// Stale is true if the member that answered knew no leader. Its records
 	// may be outdated then and it can't tell which leases run.
 	Stale bool `json:"stale,omitempty"`
@@ -269,6 +271,9 @@
 	Leaving     bool                `json:"leaving,omitempty"`
 	// Applied is the log index that the router had applied at its last renewal.
 	Applied uint64 `json:"applied"`
+	// ConfigVersion is the deployment's version in force there, 0 if it is one
+	// before the newest.
+	ConfigVersion uint64 `json:"config_version"`
 	// Current is true if the router has applied the newest records.
 	Current bool `json:"current"`
 	// LeaseMS is the longest that its lease may still run, 0 if it ran out.
--- a/cmd/peridotmux/status.go
+++ b/cmd/peridotmux/status.go
@@ -30,6 +30,7 @@
 	w.line("base version", fmt.Sprint(s.Base))
 	w.line("targets", fmt.Sprintf("%d, %d without a live owner", s.Targets, s.Unassigned))
 	w.line("leader", fmt.Sprintf("%s in term %d", s.Leader, s.Term))
+	w.line("cold targets", names(s.Cold))
 	w.line("non-idempotent", names(s.NonIdempotent))
 	for _, q := range s.QuietDCs {
 		w.line("quiet data centre", quietText(&q))
@@ -37,10 +38,10 @@
 	for _, q := range s.QuietTargets {
 		w.line("quiet target", quietText(&q))
 	}
-	w.printf("\nROUTER\tDATA CENTRE\tSTATE\tRECORDS\tLEASE\tSEEN\tOWNS\tMEMBER")
+	w.printf("\nROUTER\tDATA CENTRE\tSTATE\tCONFIG\tRECORDS\tLEASE\tSEEN\tOWNS\tMEMBER")
 	for _, r := range s.Routers {
-		w.printf("%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s",
-			r.VM, r.DataCentre, routerState(&r), recordsText(&r), leaseText(&r), seenText(&r), r.Owns, r.Member)
+		w.printf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s",
+			r.VM, r.DataCentre, routerState(&r), configText(&r), recordsText(&r), leaseText(&r), seenText(&r), r.Owns, r.Member)
 	}
 	writeMembers(w, &api.MemberList{Members: s.Members})
 }
@@ -67,6 +68,13 @@
 	}
 }
 
+func configText(r *api.RouterStatus) string {
+	if r.ConfigVersion == 0 {
+		return "older"
+	}
+	return fmt.Sprint(r.ConfigVersion)
+}
+
 func recordsText(r *api.RouterStatus) string {
 	if r.Current {
 		return "current"
