--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -12,11 +12,12 @@
 func (s *sums) ControlToday() float64 { return s.RenewalsPerSecond * s.RenewalBytes.PerX }
 
 // IdleToday is the sum for an idle system's processor time a second, in
-// milliseconds: heartbeats, decisions, renewals with a confirmation each.
+// milliseconds: heartbeats, decisions, renewals and their confirmations.
 func (s *sums) IdleToday() float64 {
 	renewals := s.RenewalsPerSecond * routersToday
 	return s.GroupIdle.At(trialMembers) + s.LeaderIdle.At(routersToday) +
-		renewals*(s.RenewalProcessor.PerX+s.ConfirmProcessor.PerX)
+		renewals*s.RenewalProcessor.PerX +
+		min(renewals, trialMembers*confirmRounds)*s.ConfirmProcessor.PerX
 }
 
 // QueryToday is the sum for a query of all of today's shards, in milliseconds.
@@ -103,12 +104,6 @@
 	return s.MemberCPU + s.MemberConfirmCPU + s.MemberIdleCPU + s.LeaderCPU + s.PushCPUDay
 }
 
-// PacedCPU is what confirmations take if they are at most 100 ms old.
-func (s *sums) PacedCPU() float64 { return s.ConfirmProcessor.PerX * pacedRounds / 10 }
-
-// PacedCPUAll is what control then takes at a member.
-func (s *sums) PacedCPUAll() float64 { return s.MemberCPUAll() - s.MemberConfirmCPU + s.PacedCPU() }
-
 // MemberRenewals is the number of renewals a second at a member.
 func (s *sums) MemberRenewals() float64 { return s.Followers * s.RenewalsPerSecond }
 
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -38,9 +38,9 @@
 	// entriesKept is the number of entries that a restart may have to read: one
 	// interval of snapshots and what is kept behind the newest.
 	entriesKept = group.DefaultSnapshotEvery + group.DefaultTrailingEntries
-	// pacedRounds is the number of rounds a second of a member that answers
-	// from confirmations up to 100 ms old.
-	pacedRounds = 10
+	// confirmRounds bounds the rounds a second of a member, which answers from
+	// confirmations up to 100 ms old.
+	confirmRounds = 10
 	// claimsKept and intentsKept are the state's limits.
 	claimsKept  = 100_000
 	intentsKept = 4096
@@ -90,7 +90,6 @@
 	MemberConfirmCPU float64
 	MemberIdleCPU    float64
 	MemberGroup      float64
-	MemberPaced      float64
 	CommitMS         float64
 	LoadMS           float64
 	LogADayMiB       float64
@@ -154,12 +153,11 @@
 	cost := s.RenewalProcessor.PerX * s.RenewalsPerSecond // Milliseconds a second for one follower.
 	s.MemberCPU = cost * s.Followers / 10
 	s.OneMemberCPU = cost * nodesAhead / 10
-	renewals := s.Followers * s.RenewalsPerSecond * membersARegion
-	s.MemberConfirmCPU = s.ConfirmProcessor.PerX * renewals / membersARegion / 10
+	rounds := min(s.Followers*s.RenewalsPerSecond, confirmRounds)
+	s.MemberConfirmCPU = s.ConfirmProcessor.PerX * rounds / 10
 	s.MemberIdleCPU = s.GroupIdle.At(membersARegion) / membersARegion / 10
 	// Both ends count the bytes between members.
-	s.MemberGroup = 2 * (s.ConfirmBytes.PerX*renewals + s.GroupIdleBytes.At(membersARegion)) / membersARegion
-	s.MemberPaced = 2 * (s.ConfirmBytes.PerX*pacedRounds*membersARegion + s.GroupIdleBytes.At(membersARegion)) / membersARegion
+	s.MemberGroup = 2 * (s.ConfirmBytes.PerX*rounds + s.GroupIdleBytes.At(membersARegion)/membersARegion)
 	s.CommitMS = s.ProposeTime.At(s.DeploymentBytes.At(replicasAhead))
 	s.LoadMS = s.LoadTime.At(entriesKept)
 	s.MemberTraffic = s.FollowerSmall*s.Followers + s.MemberGroup
