Let the test's state machines wait for their members' start

Cause: a member that started early applied entries to the state machine of one that hadn't started, a data race of the test's harness (seen once under -race in TestConfigurationIsALinearizableRegister; the product makes its state before its log). Change: entries wait for the start.

--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	states := make([]control.StateMachine, n)
 	for i := range states {
-		states[i] = &lateState{}
+		states[i] = &lateState{ready: make(chan struct{})}
 	}
 	group := controltest.New(states...)
 	var peers []admin.Peer
@@ -46,7 +46,9 @@
 			Member: string(rune('a' + i)), RPC: listen(t), HTTP: listen(t),
 			Limits: state.DefaultLimits(), Logger: slog.New(slog.DiscardHandler),
 			Group: func(_ context.Context, sm control.StateMachine) (*server.Group, error) {
-				states[i].(*lateState).StateMachine = sm
+				late := states[i].(*lateState)
+				late.StateMachine = sm
+				close(late.ready)
 				return &server.Group{Log: group.Member(i)}, nil
 			},
 		}
@@ -70,8 +72,17 @@
 	return group, peers
 }
 
-// lateState is a state machine that the member's start provides.
-type lateState struct{ control.StateMachine }
+// lateState is a state machine that the member's start provides. Entries wait
+// until then, since other members may start earlier.
+type lateState struct {
+	control.StateMachine
+	ready chan struct{}
+}
+
+func (s *lateState) Apply(index uint64, data []byte) any {
+	<-s.ready
+	return s.StateMachine.Apply(index, data)
+}
 
 func call(t *testing.T, method, addr, path string, body, answer any) int {
 	t.Helper()
