--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -27,6 +27,17 @@
 	freeze = 10 * time.Second
 )
 
+// checkLeft fails if a target began work later than quietBound after accepted.
+func (c *cluster) checkLeft(t *testing.T, id topology.TargetID, accepted time.Time) {
+	t.Helper()
+	for _, e := range c.ledgers(t)[id] {
+		if late := e.Begun.Sub(accepted); late > quietBound {
+			t.Errorf("%s got new work %v after it left", id, late)
+			return
+		}
+	}
+}
+
 // accept submits and confirms an intent and returns when it was accepted.
 func (c *cluster) accept(t *testing.T, spec api.IntentSpec) time.Time {
 	t.Helper()
@@ -98,10 +109,16 @@
 	c := startCluster(t)
 	targets := c.targets(t)
 	l := startLoad(t, c)
-	accepted := c.accept(t, api.IntentSpec{Kind: api.IntentTakeOut, DataCentre: "dc-a"})
+	leaves := targets[len(targets)-1]
+	left := c.accept(t, api.IntentSpec{Kind: api.IntentLeave, Targets: []topology.TargetID{leaves.ID}})
+	accepted := c.accept(t, api.IntentSpec{
+		Kind: api.IntentTakeOut, DataCentre: "dc-a", Overrides: []api.PlanReason{api.PlanCapacity},
+	})
 	time.Sleep(quietBound + time.Second)
 	c.checkQuiet(t, targets, "dc-a", accepted)
 	c.accept(t, api.IntentSpec{Kind: api.IntentBringBack, DataCentre: "dc-a"})
+	time.Sleep(time.Second)
+	c.checkLeft(t, leaves.ID, left)
 
 	c.routers[2].signal(t, syscall.SIGTERM)
 	if err := c.routers[2].wait(t, 20*time.Second); err != nil {
