Trace errors at the processes' edges; print one control address in a trial

Cause: the house style's trace library wasn't used, and a daemon that failed told no place. The mains now log the user's message and the report (tried with an address that can't be bound). The trial printed its control addresses on several lines, which a shell can't take (seen by hand).

--- a/cmd/peridotmux-control/main.go
+++ b/cmd/peridotmux-control/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/peridotmux/peridotmux/control/daemon"
 	"github.com/peridotmux/peridotmux/settings"
@@ -28,7 +29,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := daemon.Run(ctx, cfg, os.Stderr); err != nil {
-		slog.Error("control member failed", "error", err)
+		slog.Error("control member failed", "error", trace.UserMessage(err), "report", trace.DebugReport(err))
 		os.Exit(exitFailed)
 	}
 }
--- a/cmd/peridotmux/query.go
+++ b/cmd/peridotmux/query.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/topology"
@@ -60,7 +61,7 @@
 		}
 		answer, err := runQuery(context.Background(), *addr, q)
 		if err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		return printAnswer(os.Stdout, answer, *asJSON)
 	}
@@ -78,23 +79,23 @@
 func runQuery(ctx context.Context, addr string, q *api.Query) (*api.Answer, error) {
 	data, err := json.Marshal(q)
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+api.PathQuery, bytes.NewReader(data))
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	read, err := io.ReadAll(io.LimitReader(resp.Body, maxShownBytes))
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	return readAnswer(resp.StatusCode, read)
 }
--- a/cmd/peridotmux/trial.go
+++ b/cmd/peridotmux/trial.go
@@ -6,11 +6,11 @@
 	"io"
 	"os"
 	"os/signal"
-	"strings"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/control/adminclient"
@@ -53,11 +53,11 @@
 func runTrial(name string, tour, logs bool) error {
 	deployment, err := examples.Deployment(name)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	dir, err := os.MkdirTemp("", "peridotmux-trial-")
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	cfg := trial.Config{
@@ -71,7 +71,7 @@
 	defer stop()
 	s, err := startTrial(ctx, cfg)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	defer func() { _ = s.Stop() }()
 	if tour {
@@ -85,13 +85,13 @@
 func startTrial(ctx context.Context, cfg trial.Config) (*trial.System, error) {
 	s, err := trial.Start(cfg)
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, trialStart)
 	defer cancel()
 	if err := s.WaitReady(ctx); err != nil {
 		_ = s.Stop()
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	return s, nil
 }
@@ -101,7 +101,7 @@
 	out("%d targets, %d control members and %d routers run.", len(s.Targets), len(s.Members), len(s.Routers))
 	out("In another shell:")
 	out("  export PERIDOTMUX_ROUTER=%s", s.Routers[0].VM.HTTP)
-	out("  export PERIDOTMUX_CONTROL=%s", strings.Join(s.ControlHTTP(), "\n"))
+	out("  export PERIDOTMUX_CONTROL=%s", s.ControlHTTP()[0])
 	out("  peridotmux query --kind %s", s.Deployment.Kinds[0].Name)
 	out("  peridotmux status")
 	out("  peridotmux intent take-out --dc %s", s.Deployment.DataCentres[0])
@@ -135,7 +135,7 @@
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 	}
 	return nil
@@ -149,7 +149,7 @@
 	begin := time.Now()
 	a, err := runQuery(t.ctx, t.system.Routers[0].VM.HTTP.String(), q)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	t.say("covered %d of %d shards from snapshot %d in %d ms; first result: %s", a.Covered, a.Asked,
 		a.Snapshot, time.Since(begin).Milliseconds(), shorten(string(a.Results[0].Body)))
@@ -163,23 +163,23 @@
 	t.say("\n== %s", title)
 	in, err := t.client.Submit(t.ctx, &api.Submission{Command: adminclient.NewCommand(), Intent: spec})
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	table := newTable(t.w)
 	writeIntent(table, in)
 	if err := table.flush(); err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	begin := time.Now()
 	_, err = t.client.Confirm(t.ctx, in.Plan.ID, &api.Confirmation{
 		Command: adminclient.NewCommand(), Base: in.Plan.Base,
 	})
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	settled, err := t.awaitInForce(in.ID)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	t.say("confirmed; %s on %d routers after %d ms", settled.State, len(settled.Outcome.InForce),
 		time.Since(begin).Milliseconds())
@@ -193,7 +193,7 @@
 	for {
 		in, err := t.client.Intent(ctx, id)
 		if err != nil {
-			return nil, err
+			return nil, trace.Wrap(err)
 		}
 		if in.State == api.IntentInForce || in.State == api.IntentSettled {
 			return in, nil
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/gorilla/mux"
+	"github.com/gravitational/trace"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/consensus"
@@ -38,11 +39,11 @@
 func Run(ctx context.Context, s *settings.Control, w io.Writer) error {
 	rpcListener, err := listen(s.VM.RPC.String())
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	httpListener, err := listen(s.VM.HTTP.String())
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	return RunOn(ctx, s, w, rpcListener, httpListener)
 }
@@ -51,7 +52,7 @@
 func RunOn(ctx context.Context, s *settings.Control, w io.Writer, rpcListener, httpListener net.Listener) error {
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	logs := telemetry.NewLogs(w, s.Log)
 	return server.Run(ctx, server.Config{
@@ -87,7 +88,7 @@
 		Log:          log,
 	})
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	return &server.Group{Log: g, Members: &membership{g}, Register: g.Register, Run: g.Run}, nil
 }
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -5,6 +5,8 @@
 import (
 	"embed"
 
+	"github.com/gravitational/trace"
+
 	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/topology"
 )
@@ -20,7 +22,7 @@
 	path := name + "/deployment.ini"
 	data, err := files.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	return settings.ParseDeployment(path, data)
 }
--- a/router/daemon.go
+++ b/router/daemon.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 
+	"github.com/gravitational/trace"
+
 	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/target"
 	"github.com/peridotmux/peridotmux/telemetry"
@@ -30,15 +32,15 @@
 func RunDaemon(ctx context.Context, s *settings.Router, w io.Writer) error {
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	rpcListener, err := listen(s.VM.RPC)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	httpListener, err := listen(s.VM.HTTP)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	r := New(Config{
 		VM:            s.VM,
@@ -53,7 +55,7 @@
 		RPCListener:   rpcListener,
 		HTTPListener:  httpListener,
 	})
-	return r.Run(ctx)
+	return trace.Wrap(r.Run(ctx))
 }
 
 func listen(addr netip.AddrPort) (net.Listener, error) {
--- a/trial/member.go
+++ b/trial/member.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strconv"
 
+	"github.com/gravitational/trace"
+
 	"github.com/peridotmux/peridotmux/control/daemon"
 	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/topology"
@@ -27,7 +29,7 @@
 	m.stop()
 	err := <-m.done
 	m.done <- err
-	return err
+	return trace.Wrap(err)
 }
 
 func (s *System) startMembers() error {
@@ -36,11 +38,11 @@
 	for i := range s.cfg.Members {
 		rpcListener, rpcAddr, err := listen()
 		if err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		httpListener, httpAddr, err := listen()
 		if err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		rpcListeners = append(rpcListeners, rpcListener)
 		httpListeners = append(httpListeners, httpListener)
@@ -54,7 +56,7 @@
 	for i, m := range members {
 		cfg, err := s.memberSettings(i, m, members)
 		if err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		if s.cfg.Member != nil {
 			s.cfg.Member(cfg)
@@ -67,7 +69,7 @@
 func (s *System) memberSettings(i int, m settings.Member, all []settings.Member) (*settings.Control, error) {
 	folder := filepath.Join(s.cfg.DataDir, string(m.Name))
 	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	return &settings.Control{
 		VM: topology.VM{
--- a/trial/router.go
+++ b/trial/router.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"strconv"
 
+	"github.com/gravitational/trace"
+
 	"github.com/peridotmux/peridotmux/router"
 	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/target"
@@ -35,14 +37,14 @@
 	r.stop()
 	err := <-r.done
 	r.done <- err
-	return err
+	return trace.Wrap(err)
 }
 
 func (s *System) startRouters() error {
 	for i := range s.cfg.Routers {
 		r, err := s.newRouter(i)
 		if err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		s.Routers = append(s.Routers, r)
 	}
@@ -54,7 +56,7 @@
 func (s *System) RestartRouter(i int) error {
 	r, err := s.newRouter(i)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
 	s.Routers[i] = r
 	return nil
@@ -63,15 +65,15 @@
 func (s *System) newRouter(i int) (*Router, error) {
 	rpcListener, rpcAddr, err := listen()
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	httpListener, httpAddr, err := listen()
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
 	}
 	cfg := router.Config{
 		VM: topology.VM{
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/router"
 	"github.com/peridotmux/peridotmux/settings"
@@ -101,7 +103,7 @@
 		}
 		stand := standin.New(o)
 		if err := stand.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
-			return err
+			return trace.Wrap(err)
 		}
 		t.Addr = stand.Addr()
 		s.Targets[t.ID] = stand
@@ -193,7 +195,7 @@
 func listen() (net.Listener, netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, netip.AddrPort{}, err
+		return nil, netip.AddrPort{}, trace.Wrap(err)
 	}
 	return l, netip.MustParseAddrPort(l.Addr().String()), nil
 }
