Try the replacement of a lost member under a new id

Change: a test in which a fourth member, which the others' settings don't name, replaces a lost one.

--- a/consensus/group/cluster_test.go
+++ b/consensus/group/cluster_test.go
@@ -86,6 +86,8 @@
 	snapshotEvery uint64
 	cuts          *cuts
 	discard       bool
+	// named is how many members the first members' settings name, all if 0.
+	named int
 }
 
 func newCluster(t testing.TB, n int) *cluster {
@@ -119,8 +121,12 @@
 func (c *cluster) start(id consensus.MemberID, bootstrap bool) *process {
 	c.t.Helper()
 	j := &journal{discard: c.discard}
+	members := c.members
+	if c.named > 0 {
+		members = members[:max(c.named, int(id))]
+	}
 	g, err := group.Open(group.Config{
-		ID: id, Name: "test", Members: c.members, DataDir: c.dirs[id], Bootstrap: bootstrap,
+		ID: id, Name: "test", Members: members, DataDir: c.dirs[id], Bootstrap: bootstrap,
 		StateMachine: j, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
 		Dial: c.dialer(id),
 	})
--- a/consensus/group/loss_test.go
+++ b/consensus/group/loss_test.go
@@ -148,6 +148,11 @@
 		}
 		return l.AddLearner(ctx, c.member(id))
 	})
+	c.promote(id)
+}
+
+func (c *cluster) promote(id consensus.MemberID) {
+	c.t.Helper()
 	c.untilDone("promote", func(ctx context.Context, l *process) error {
 		if _, _, voter := c.status(id); voter {
 			return nil
@@ -189,6 +194,38 @@
 	}
 }
 
+func TestMemberUnderANewIDReplacesALostOne(t *testing.T) {
+	const lost, added consensus.MemberID = 3, 4
+	c := newCluster(t, 4)
+	c.named = 3
+	for id := range lost {
+		c.start(id+1, true)
+	}
+	c.proposeAll("before", 20)
+	c.running[lost].stop()
+	p := c.start(added, false)
+	c.untilDone("add as a learner", func(ctx context.Context, l *process) error {
+		if _, listed, _ := c.status(added); listed {
+			return nil
+		}
+		return l.AddLearner(ctx, c.member(added))
+	})
+	c.promote(added)
+	c.untilDone("remove", func(ctx context.Context, l *process) error {
+		if _, listed, _ := c.status(lost); !listed {
+			return nil
+		}
+		return l.Remove(ctx, lost)
+	})
+	eventually(t, "the new member holds all", func() bool { return p.journal.count() == 20 })
+	for id := range c.running {
+		eventually(t, "any one member is safe to lose", func() bool {
+			safe, _, _ := c.status(id)
+			return safe
+		})
+	}
+}
+
 func TestStatusTellsWhoIsNotSafeToLose(t *testing.T) {
 	c := newCluster(t, 3)
 	c.startAll()
