--- a/control/service/follow.go
+++ b/control/service/follow.go
@@ -129,9 +129,10 @@
 func (f *session) confirm(ctx context.Context, r renewal, out chan<- confirmation) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	index, begun, err := f.s.log.Confirm(ctx)
-	if err == nil && index < r.request.GetApplied() {
-		err = &state.OldIndexError{Have: r.request.GetApplied(), Got: index}
+	applied := r.request.GetApplied()
+	index, begun, err := f.s.confirm.confirm(ctx, applied, time.Now())
+	if err == nil && index < applied {
+		err = &state.OldIndexError{Have: applied, Got: index}
 	}
 	out <- confirmation{renewal: r, begun: begun, err: err}
 }
@@ -146,6 +147,7 @@
 		return nil
 	}
 	f.sent = d.Index
+	f.s.metrics.Pushed(len(d.Records))
 	return f.stream.Send(&pb.FollowResponse{Snapshot: d.Snapshot, Records: d.Records, Index: d.Index})
 }
 
@@ -160,6 +162,7 @@
 		f.sent = q.GetApplied()
 	}
 	f.fill(response)
+	f.s.metrics.Renewed(c.err == nil)
 	if c.err != nil {
 		f.s.logger.Warn("lease not confirmed", "router", f.vm, "cause", c.err)
 		return f.stream.Send(response)
@@ -183,4 +186,5 @@
 	f.sent = d.Index
 	response.Snapshot = d.Snapshot
 	response.Records = d.Records
+	f.s.metrics.Pushed(len(d.Records))
 }
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -47,6 +47,7 @@
 	StreamMemory    Slope
 	TargetMemory    Slope
 
+	Today         Today
 	PlacementTime Slope
 	Placed        []Placed
 
@@ -61,6 +62,7 @@
 	PushProcessor Slope
 	StateMemory   Slope
 	ClaimMemory   Slope
+	IntentMemory  Slope
 
 	GroupIdle        Slope
 	GroupIdleBytes   Slope
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -8,6 +8,26 @@
 // DiskMiB is the size of a member's files with as many entries.
 func (s *sums) DiskMiB() float64 { return s.DiskBytes.At(entriesKept) / 1024 }
 
+// ControlToday is the sum for a router's messages with control at today's size.
+func (s *sums) ControlToday() float64 { return s.RenewalsPerSecond * s.RenewalBytes.PerX }
+
+// IdleToday is the sum for an idle system's processor time a second, in
+// milliseconds: heartbeats, decisions, renewals with a confirmation each.
+func (s *sums) IdleToday() float64 {
+	renewals := s.RenewalsPerSecond * routersToday
+	return s.GroupIdle.At(trialMembers) + s.LeaderIdle.At(routersToday) +
+		renewals*(s.RenewalProcessor.PerX+s.ConfirmProcessor.PerX)
+}
+
+// QueryToday is the sum for a query of all of today's shards, in milliseconds.
+func (s *sums) QueryToday() float64 { return s.WholePath.At(float64(s.Today.Shards)) / 1e3 }
+
+// QueryOver is how many times the sum a query took.
+func (s *sums) QueryOver() float64 { return s.Today.QueryMS / s.QueryToday() }
+
+// QueryCoresOver is the sum of a router's cores, raised as much.
+func (s *sums) QueryCoresOver() float64 { return s.QueryCores * s.QueryOver() }
+
 // bars holds the bars that sums are held against.
 type bars struct {
 	InForce, Latency, Core, Memory, Traffic, SetAside float64
@@ -38,7 +58,7 @@
 		fanOutAhead, fanOutAhead, s.OwnersAsked, s.OwnersAsked, s.PerNodeSubRequests(), fanOutAhead,
 		nodesAhead - 1, targetConnections, s.Followers, s.Followers, float64(s.Placed[0].Lost[2]), nodesAhead,
 		replicasAhead, s.Followers, s.Followers, nodesAhead, nodesAhead, nodesAhead,
-		claimsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
+		claimsKept, intentsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
 		s.DeploymentKiB(), entriesKept, entriesKept, changesAhead, intentsKept, changesAhead,
 	}
 	slopes := s.slopes()
@@ -101,9 +121,6 @@
 // DeploymentKiB is the size of the deployment's record.
 func (s *sums) DeploymentKiB() float64 { return s.DeploymentBytes.At(replicasAhead) }
 
-// ShardBytes is the size of the deployment's part for one shard.
-func (s *sums) ShardBytes() float64 { return s.DeploymentBytes.PerX * 1024 * threeReplicas }
-
 // BusiestCores is what the router with most first sub-requests takes.
 func (s *sums) BusiestCores() float64 { return s.QueryCores * s.Placed[0].BusiestShare }
 
--- a/router/router.go
+++ b/router/router.go
@@ -109,7 +109,9 @@
 		lease:       r.lease,
 		log:         r.cfg.Logs.Part(settings.PartLease),
 		leaving:     r.leaving.Load,
+		load:        r.owner.Load,
 		renewNow:    make(chan struct{}, 1),
+		traffic:     r.cfg.Metrics.Lease,
 		onLeader:    r.claims.setLeader,
 	}
 }
@@ -130,7 +132,7 @@
 	wg.Go(func() { failed <- rpc.Serve(base, r.cfg.RPCListener, r.register) })
 	wg.Go(func() { failed <- r.http.Serve(r.cfg.HTTPListener) })
 	r.log.Info("router started", "vm", r.cfg.VM.Name, "incarnation", r.cfg.Incarnation,
-		"http", r.cfg.HTTPListener.Addr(), "rpc", r.cfg.RPCListener.Addr())
+		"http", r.cfg.HTTPListener.Addr().String(), "rpc", r.cfg.RPCListener.Addr().String())
 	select {
 	case err := <-failed:
 		_ = r.http.Close()
@@ -156,6 +158,9 @@
 	drained := r.entry.Drain(ctx)
 	closed := r.http.Shutdown(ctx)
 	handed := r.waitHandedOver(ctx)
+	if handed == nil {
+		r.waitTold(ctx)
+	}
 	r.peers.close()
 	r.claims.close()
 	err := errors.Join(drained, closed, handed)
@@ -178,6 +183,25 @@
 	}
 }
 
+// toldPoll is the time between two looks whether the next owners were told.
+const toldPoll = 10 * time.Millisecond
+
+// waitTold lets the next owners hear that their targets are released. After a
+// lease they no longer need to.
+func (r *Router) waitTold(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	tick := time.NewTicker(toldPoll)
+	defer tick.Stop()
+	for r.othersStay() && !r.owner.Told() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (r *Router) ownsAny() bool {
 	for _, a := range r.board.View().Assignments {
 		if a.Owner == r.cfg.VM.Name {
