--- a/control/service/service.go
+++ b/control/service/service.go
@@ -9,6 +9,7 @@
 	"github.com/peridotmux/peridotmux/control/state"
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/telemetry"
 )
 
 const (
@@ -28,6 +29,8 @@
 	State  *state.State
 	Log    control.Log
 	Logger *slog.Logger
+	// Metrics may be zero.
+	Metrics telemetry.Control
 }
 
 // Service serves routers and the other members. Run must run meanwhile.
@@ -38,10 +41,12 @@
 	member  string
 	state   *state.State
 	log     control.Log
+	confirm *confirmer
 	logger  *slog.Logger
 	seats   *seats
 	reports *Reports
 	batcher *claimBatcher
+	metrics telemetry.Control
 }
 
 // New returns a service.
@@ -50,10 +55,12 @@
 		member:  c.Member,
 		state:   c.State,
 		log:     c.Log,
+		confirm: &confirmer{log: c.Log},
 		logger:  c.Logger,
 		seats:   newSeats(),
 		reports: NewReports(),
 		batcher: newClaimBatcher(c.Log),
+		metrics: c.Metrics,
 	}
 }
 
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -12,11 +12,12 @@
 func (s *sums) ControlToday() float64 { return s.RenewalsPerSecond * s.RenewalBytes.PerX }
 
 // IdleToday is the sum for an idle system's processor time a second, in
-// milliseconds: heartbeats, decisions, renewals with a confirmation each.
+// milliseconds: heartbeats, decisions, renewals and their confirmations.
 func (s *sums) IdleToday() float64 {
 	renewals := s.RenewalsPerSecond * routersToday
 	return s.GroupIdle.At(trialMembers) + s.LeaderIdle.At(routersToday) +
-		renewals*(s.RenewalProcessor.PerX+s.ConfirmProcessor.PerX)
+		renewals*s.RenewalProcessor.PerX +
+		min(renewals, trialMembers*confirmRounds)*s.ConfirmProcessor.PerX
 }
 
 // QueryToday is the sum for a query of all of today's shards, in milliseconds.
@@ -58,7 +59,7 @@
 		fanOutAhead, fanOutAhead, s.OwnersAsked, s.OwnersAsked, s.PerNodeSubRequests(), fanOutAhead,
 		nodesAhead - 1, targetConnections, s.Followers, s.Followers, float64(s.Placed[0].Lost[2]), nodesAhead,
 		replicasAhead, s.Followers, s.Followers, nodesAhead, nodesAhead, nodesAhead,
-		claimsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
+		claimsKept, intentsKept, membersARegion, membersARegion, s.MemberRenewals() * membersARegion, s.MemberRenewals() * membersARegion,
 		s.DeploymentKiB(), entriesKept, entriesKept, changesAhead, intentsKept, changesAhead,
 	}
 	slopes := s.slopes()
@@ -103,12 +104,6 @@
 	return s.MemberCPU + s.MemberConfirmCPU + s.MemberIdleCPU + s.LeaderCPU + s.PushCPUDay
 }
 
-// PacedCPU is what confirmations take if they are at most 100 ms old.
-func (s *sums) PacedCPU() float64 { return s.ConfirmProcessor.PerX * pacedRounds / 10 }
-
-// PacedCPUAll is what control then takes at a member.
-func (s *sums) PacedCPUAll() float64 { return s.MemberCPUAll() - s.MemberConfirmCPU + s.PacedCPU() }
-
 // MemberRenewals is the number of renewals a second at a member.
 func (s *sums) MemberRenewals() float64 { return s.Followers * s.RenewalsPerSecond }
 
@@ -121,9 +116,6 @@
 // DeploymentKiB is the size of the deployment's record.
 func (s *sums) DeploymentKiB() float64 { return s.DeploymentBytes.At(replicasAhead) }
 
-// ShardBytes is the size of the deployment's part for one shard.
-func (s *sums) ShardBytes() float64 { return s.DeploymentBytes.PerX * 1024 * threeReplicas }
-
 // BusiestCores is what the router with most first sub-requests takes.
 func (s *sums) BusiestCores() float64 { return s.QueryCores * s.Placed[0].BusiestShare }
 
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -38,9 +38,9 @@
 	// entriesKept is the number of entries that a restart may have to read: one
 	// interval of snapshots and what is kept behind the newest.
 	entriesKept = group.DefaultSnapshotEvery + group.DefaultTrailingEntries
-	// pacedRounds is the number of rounds a second of a member that answers
-	// from confirmations up to 100 ms old.
-	pacedRounds = 10
+	// confirmRounds bounds the rounds a second of a member, which answers from
+	// confirmations up to 100 ms old.
+	confirmRounds = 10
 	// claimsKept and intentsKept are the state's limits.
 	claimsKept  = 100_000
 	intentsKept = 4096
@@ -84,12 +84,12 @@
 	PushMS           float64
 	MemberMemoryMiB  float64
 	ClaimsMiB        float64
+	IntentsMiB       float64
 	ClaimRate        float64
 	ClaimShare       float64
 	MemberConfirmCPU float64
 	MemberIdleCPU    float64
 	MemberGroup      float64
-	MemberPaced      float64
 	CommitMS         float64
 	LoadMS           float64
 	LogADayMiB       float64
@@ -153,12 +153,11 @@
 	cost := s.RenewalProcessor.PerX * s.RenewalsPerSecond // Milliseconds a second for one follower.
 	s.MemberCPU = cost * s.Followers / 10
 	s.OneMemberCPU = cost * nodesAhead / 10
-	renewals := s.Followers * s.RenewalsPerSecond * membersARegion
-	s.MemberConfirmCPU = s.ConfirmProcessor.PerX * renewals / membersARegion / 10
+	rounds := min(s.Followers*s.RenewalsPerSecond, confirmRounds)
+	s.MemberConfirmCPU = s.ConfirmProcessor.PerX * rounds / 10
 	s.MemberIdleCPU = s.GroupIdle.At(membersARegion) / membersARegion / 10
 	// Both ends count the bytes between members.
-	s.MemberGroup = 2 * (s.ConfirmBytes.PerX*renewals + s.GroupIdleBytes.At(membersARegion)) / membersARegion
-	s.MemberPaced = 2 * (s.ConfirmBytes.PerX*pacedRounds*membersARegion + s.GroupIdleBytes.At(membersARegion)) / membersARegion
+	s.MemberGroup = 2 * (s.ConfirmBytes.PerX*rounds + s.GroupIdleBytes.At(membersARegion)/membersARegion)
 	s.CommitMS = s.ProposeTime.At(s.DeploymentBytes.At(replicasAhead))
 	s.LoadMS = s.LoadTime.At(entriesKept)
 	s.MemberTraffic = s.FollowerSmall*s.Followers + s.MemberGroup
@@ -167,14 +166,15 @@
 	s.PushMS = s.PushTime.At(s.Followers)
 	s.PushCPUDay = perSecond(changesAhead*s.PushProcessor.At(s.Followers)) / 10
 	s.ClaimsMiB = s.ClaimMemory.At(claimsKept) / 1024
-	s.MemberMemoryMiB = s.StateMemory.At(nodesAhead)/1024 + s.ClaimsMiB
+	s.IntentsMiB = s.IntentMemory.PerX * intentsKept / 1024
+	s.MemberMemoryMiB = s.StateMemory.At(nodesAhead)/1024 + s.ClaimsMiB + s.IntentsMiB
 	s.ClaimRate = claimsKept / state.DefaultLimits().KeyAge.Seconds()
 	s.ClaimShare = 100 * s.ClaimRate / queriesAhead
 	s.LogADayMiB = s.LogBytes.At(changesAhead) / 1024
 	s.LogWholeADayMiB = changesAhead * s.DeploymentBytes.At(replicasAhead) / 1024
 	s.SnapshotMiB = s.SnapshotBytes.At(intentsKept) / 1024
 	s.ReplayDayMS = s.ReplayTime.At(changesAhead)
-	s.ReplayHundredsMS = s.ReplayTime.At(500)
+	s.ReplayHundredsMS = s.ReplayTime.At(400)
 }
 
 func (s *sums) workFailures() {
@@ -188,7 +188,7 @@
 		f.FanOutProcessor, f.FanOutBytes, f.OwnersProcessor, f.OwnersMessages, f.SearchProcessor, f.WholePath,
 		f.StreamMemory, f.TargetMemory, f.RenewalProcessor, f.RenewalBytes, f.DeltaBytes, f.WholeBytes,
 		f.DeploymentBytes, f.PushTime, f.PushProcessor, f.PlacementTime, f.LeaderIdle, f.StateMemory,
-		f.ClaimMemory, f.GroupIdle, f.GroupIdleBytes, f.ConfirmProcessor, f.ConfirmBytes, f.ProposeTime,
+		f.ClaimMemory, f.IntentMemory, f.GroupIdle, f.GroupIdleBytes, f.ConfirmProcessor, f.ConfirmBytes, f.ProposeTime,
 		f.DiskBytes, f.LoadTime, f.LogBytes, f.SnapshotBytes, f.ReplayTime,
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -109,6 +109,7 @@
 		lease:       r.lease,
 		log:         r.cfg.Logs.Part(settings.PartLease),
 		leaving:     r.leaving.Load,
+		load:        r.owner.Load,
 		renewNow:    make(chan struct{}, 1),
 		traffic:     r.cfg.Metrics.Lease,
 		onLeader:    r.claims.setLeader,
@@ -131,7 +132,7 @@
 	wg.Go(func() { failed <- rpc.Serve(base, r.cfg.RPCListener, r.register) })
 	wg.Go(func() { failed <- r.http.Serve(r.cfg.HTTPListener) })
 	r.log.Info("router started", "vm", r.cfg.VM.Name, "incarnation", r.cfg.Incarnation,
-		"http", r.cfg.HTTPListener.Addr(), "rpc", r.cfg.RPCListener.Addr())
+		"http", r.cfg.HTTPListener.Addr().String(), "rpc", r.cfg.RPCListener.Addr().String())
 	select {
 	case err := <-failed:
 		_ = r.http.Close()
