Draw owners by open slots and queue; probe ejected targets sooner

Change: an owner is drawn in proportion to its open slots over the square of 1 + its queue a slot; probes come after 0.15, 0.3 and then every 0.5 s.

--- a/entry/scatter.go
+++ b/entry/scatter.go
@@ -58,6 +58,7 @@
 	s.budget.Earn(len(plan.Shards), max(top.HedgeBudget, top.RetryBudget))
 	sc.usual = s.quantiles(plan, now)
 	gather, actions := query.NewGather(query.Options{
+		Draw:        draw,
 		Policy:      req.policy,
 		MinCoverage: req.minCoverage,
 		Once:        req.once,
--- a/owner/outlier.go
+++ b/owner/outlier.go
@@ -14,8 +14,11 @@
 	outlierLates = 2
 	lateFactor   = 1.8
 	// probeMin and probeMax bound the time between probes of an ejected target.
-	probeMin = 500 * time.Millisecond
-	probeMax = 4 * time.Second
+	probeMin = 150 * time.Millisecond
+	probeMax = 500 * time.Millisecond
+	// readmitShare is how fast a probe must be, against the latency that the
+	// target was ejected with, for the target to return.
+	readmitShare = 0.6
 )
 
 // outlier is what the owner itself saw of a target's latency and failures. It
@@ -32,7 +35,7 @@
 
 func (o outlier) answered(d time.Duration) outlier {
 	o.failures, o.lates = 0, 0
-	if o.ejectedSince() && d < o.latency/2 {
+	if o.ejectedSince() && float64(d) < readmitShare*float64(o.latency) {
 		// A probe that is fast again counts fully, so that the target returns.
 		o.latency = d
 		return o.readmit()
--- a/query/gather.go
+++ b/query/gather.go
@@ -60,6 +60,15 @@
 	// Quantiles are the usual latencies of the query's groups.
 	Quantiles Quantiles
 	Budget    *Budget
+	// Draw gives numbers uniform in [0, 1); nil always gives 0.
+	Draw func() float64
+}
+
+func (o *Options) draw() float64 {
+	if o.Draw == nil {
+		return 0
+	}
+	return o.Draw()
 }
 
 // Gather is the state of one query's scatter and gather as a step function:
@@ -160,7 +169,7 @@
 		return false
 	}
 	tried := c.tried
-	pos := ChooseOwner(p.Candidates, g.plan.Version, tried, now)
+	pos := ChooseOwner(p.Candidates, g.plan.Version, tried, g.opts.draw(), now)
 	if pos < 0 {
 		return false
 	}
--- a/query/plan.go
+++ b/query/plan.go
@@ -117,57 +117,60 @@
 	failedFor = 300 * time.Millisecond
 	// staleAfter is the age at which a learned queue no longer counts.
 	staleAfter = time.Second
-	// firstBias is how much longer, in proportion, the first owner's queue may
-	// be before another owner is asked.
-	firstBias = 1.5
+	// lateFor is how long a late sub-request counts against an owner, lateWeight
+	// how much.
+	lateFor    = time.Second
+	lateWeight = 0.5
+	// lastResort is the weight of owners that had better not be asked.
+	lastResort = 1e-9
 )
 
 // ChooseOwner returns the position of the owner to ask for version v, or -1 if
-// none can serve it. Tried owners are left out. The first owner is asked unless
-// its queue is longer in proportion to its slots.
-func ChooseOwner(cs []Candidate, v uint64, tried []int, now time.Time) int {
-	best, bestLoad := -1, 0.0
+// none can serve it. Tried owners are left out. Draw is uniform in [0, 1): the
+// owners are asked in proportion to their weights, since every entry decides by
+// itself on news that are a little old, and would send all to one owner if it
+// asked the best.
+func ChooseOwner(cs []Candidate, v uint64, tried []int, draw float64, now time.Time) int {
+	total := 0.0
 	for i := range cs {
-		c := &cs[i]
-		if slices.Contains(tried, i) || (c.known() && !c.serves(v)) {
-			continue
-		}
-		load := c.load(now)
-		if i > 0 {
-			load = load*firstBias + tieBreak
-		}
-		if now.Sub(c.State.Late) < lateFor {
-			load += lateLoad
+		if cs[i].eligible(v, tried, i) {
+			total += cs[i].weight(now)
 		}
-		if now.Sub(c.State.Failed) < failedFor {
-			load += failedLoad
+	}
+	last, left := -1, draw*total
+	for i := range cs {
+		if !cs[i].eligible(v, tried, i) {
+			continue
 		}
-		if best < 0 || load < bestLoad {
-			best, bestLoad = i, load
+		last = i
+		left -= cs[i].weight(now)
+		if left < 0 {
+			return i
 		}
 	}
-	return best
+	return last
 }
 
-const (
-	// tieBreak prefers the first owner when nothing waits anywhere.
-	tieBreak = 0.25
-	// lateFor is how long a late sub-request counts against an owner, lateLoad
-	// how much.
-	lateFor  = time.Second
-	lateLoad = 2.0
-	// failedLoad puts owners that failed of late behind all others.
-	failedLoad = 1e6
-)
+func (c *Candidate) eligible(v uint64, tried []int, position int) bool {
+	return !slices.Contains(tried, position) && (!c.known() || c.serves(v))
+}
 
-// load returns the jobs that wait a slot, as far as known.
-func (c *Candidate) load(now time.Time) float64 {
-	if now.Sub(c.State.At) > staleAfter {
-		return 0
+// weight grows with the owner's open slots and falls with its queue for them.
+func (c *Candidate) weight(now time.Time) float64 {
+	if now.Sub(c.State.Failed) < failedFor {
+		return lastResort
+	}
+	w := float64(max(c.Slots, 1))
+	if now.Sub(c.State.At) <= staleAfter {
+		slots := float64(c.State.Slots)
+		if slots == 0 {
+			return lastResort
+		}
+		wait := 1 + float64(c.State.Queued)/slots
+		w = slots / (wait * wait)
 	}
-	slots := c.State.Slots
-	if slots == 0 {
-		return failedLoad / 2
+	if now.Sub(c.State.Late) < lateFor {
+		w *= lateWeight
 	}
-	return float64(c.State.Queued) / float64(slots)
+	return w
 }
