Apply records by one set of rules at control and at routers

Change: package board/records; control's way of copying each map only at its first change serves routers too. The router's test names the moved error type, its checks are the same. go test ./control/state ./router ./control/service pass.

--- a/control/state/view.go
+++ b/board/records/records.go
@@ -1,4 +1,6 @@
-package state
+// Package records brings views of the board up to date with replicated records.
+// Control applies what it writes, routers what they are sent, by the same rules.
+package records
 
 import (
 	"maps"
@@ -12,7 +14,8 @@
 	"github.com/peridotmux/peridotmux/topology"
 )
 
-func emptyView() *board.View {
+// EmptyView returns the view before the first record.
+func EmptyView() *board.View {
 	return &board.View{
 		QuietDCs:      map[topology.DataCentre]board.Quiet{},
 		QuietTargets:  map[topology.TargetID]board.Quiet{},
@@ -22,13 +25,26 @@
 	}
 }
 
-// withRecords returns a copy of v brought up to date with records.
-func withRecords(v *board.View, records []*pb.Record) (*board.View, error) {
+// Error says that a replicated record can't be used.
+type Error struct {
+	Key   string
+	Cause error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string { return "record " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Apply returns a copy of v brought up to date with recs. V itself isn't
+// changed. The error is an *Error.
+func Apply(v *board.View, recs []*pb.Record) (*board.View, error) {
 	next := *v
 	e := viewEdit{view: &next}
-	for _, rec := range records {
+	for _, rec := range recs {
 		if err := e.apply(rec); err != nil {
-			return nil, err
+			return nil, &Error{Key: rec.GetKey(), Cause: err}
 		}
 	}
 	return &next, nil
@@ -40,14 +56,19 @@
 	dcs, targets, routers, assignments, kinds bool
 }
 
+// edit returns a map that may be changed, a copy the first time.
 func edit[K comparable, V any](done *bool, m *map[K]V) map[K]V {
 	if !*done {
-		*m = maps.Clone(*m)
 		*done = true
+		*m = maps.Clone(*m)
+	}
+	if *m == nil {
+		*m = make(map[K]V)
 	}
 	return *m
 }
 
+// put sets or deletes one entry.
 func put[K comparable, V any](m map[K]V, key K, deleted bool, value V) {
 	if deleted {
 		delete(m, key)
@@ -67,7 +88,7 @@
 	case rpc.KeyQuietTarget:
 		put(edit(&e.targets, &v.QuietTargets), topology.TargetID(name), gone, quiet(rec.GetQuietTarget()))
 	case rpc.KeyRouter:
-		put(edit(&e.routers, &v.Routers), topology.VMName(name), gone, router(topology.VMName(name), rec))
+		return e.router(topology.VMName(name), rec)
 	case rpc.KeyAssignment:
 		a := rec.GetAssignment()
 		put(edit(&e.assignments, &v.Assignments), topology.TargetID(name), gone, board.Assignment{
@@ -99,13 +120,22 @@
 	return out
 }
 
-// router reads a router's record. Addresses were checked before they were
-// written.
-func router(name topology.VMName, rec *pb.Record) board.Router {
+func (e *viewEdit) router(name topology.VMName, rec *pb.Record) error {
+	routers := edit(&e.routers, &e.view.Routers)
+	if rec.GetDeleted() {
+		delete(routers, name)
+		return nil
+	}
 	r := rec.GetRouter()
-	rpcAddr, _ := netip.ParseAddrPort(r.GetRpcAddr())
-	httpAddr, _ := netip.ParseAddrPort(r.GetHttpAddr())
-	return board.Router{
+	rpcAddr, err := netip.ParseAddrPort(r.GetRpcAddr())
+	if err != nil {
+		return err
+	}
+	httpAddr, err := netip.ParseAddrPort(r.GetHttpAddr())
+	if err != nil {
+		return err
+	}
+	routers[name] = board.Router{
 		VM: topology.VM{
 			Name:       name,
 			DataCentre: topology.DataCentre(r.GetDataCentre()),
@@ -116,4 +146,5 @@
 		Leaving:     r.GetLeaving(),
 		Version:     rec.GetVersion(),
 	}
+	return nil
 }
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/board/records"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
 
@@ -92,15 +93,15 @@
 
 func (s *State) load(img *image) error {
 	s.records.horizon = img.Horizon
-	records := make([]*pb.Record, len(img.Records))
+	read := make([]*pb.Record, len(img.Records))
 	for i, data := range img.Records {
-		records[i] = &pb.Record{}
-		if err := proto.Unmarshal(data, records[i]); err != nil {
+		read[i] = &pb.Record{}
+		if err := proto.Unmarshal(data, read[i]); err != nil {
 			return &BadSnapshotError{Cause: err}
 		}
-		s.records.put(records[i])
+		s.records.put(read[i])
 	}
-	view, err := withRecords(s.view, records)
+	view, err := records.Apply(s.view, read)
 	if err != nil {
 		return &BadSnapshotError{Cause: err}
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/board/records"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
@@ -48,7 +49,7 @@
 
 func (s *State) reset() {
 	s.records = newRecordStore(s.limits.Tombstones)
-	s.view = emptyView()
+	s.view = records.EmptyView()
 	s.intents = newIntentStore()
 	s.memory = newCommandMemory(s.limits.Commands)
 	s.claims = newClaimStore(s.limits)
@@ -126,7 +127,7 @@
 func (s *State) publish() {
 	view := s.view
 	if len(s.written) > 0 {
-		next, err := withRecords(view, s.written)
+		next, err := records.Apply(view, s.written)
 		if err == nil {
 			view = next
 		}
--- a/router/records_test.go
+++ b/router/records_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/board/records"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
@@ -84,7 +85,7 @@
 	err := applyResponse(v, &pb.FollowResponse{Index: 2, Records: []*pb.Record{
 		quietRecord("a", 2), deploymentRecord(2, "{"),
 	}})
-	var bad *RecordError
+	var bad *records.Error
 	if !errors.As(err, &bad) || v.Index != 1 || len(v.QuietDCs) != 0 {
 		t.Fatalf("got %v, view %+v", err, v)
 	}
