Count commands applied twice in the group's tests again

Seen to fail: with each entry applied twice, 11 repeats at 0 sent again. go test -race -run 'MembersElect|ConfirmAtEach' ./consensus/group passes.

--- a/consensus/group/cluster_test.go
+++ b/consensus/group/cluster_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 type journal struct {
 	mu    sync.Mutex
 	lines []string
+	// applied counts every command applied, repeated ones too.
+	applied int
 	// discard keeps nothing, for benchmarks.
 	discard bool
 }
@@ -31,6 +34,7 @@
 func (j *journal) Apply(_ uint64, data []byte) any {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.applied++
 	if !j.discard && !slices.Contains(j.lines, string(data)) {
 		j.lines = append(j.lines, string(data))
 	}
@@ -61,6 +65,13 @@
 	return nil
 }
 
+// repeats returns how many commands were applied more than once.
+func (j *journal) repeats() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.applied - len(j.lines)
+}
+
 func (j *journal) count() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -78,6 +89,8 @@
 
 // cluster is a group on loopback.
 type cluster struct {
+	// sentAgain counts proposals sent again after an unknown outcome.
+	sentAgain     atomic.Int64
 	t             testing.TB
 	members       []group.Member
 	dirs          map[consensus.MemberID]string
@@ -219,6 +232,9 @@
 		if !errors.As(err, &other) && !errors.As(err, &unknown) {
 			c.t.Fatal(err)
 		}
+		if errors.As(err, &unknown) {
+			c.sentAgain.Add(1)
+		}
 	}
 	c.t.Fatal("not acknowledged in time")
 }
--- a/consensus/group/group_test.go
+++ b/consensus/group/group_test.go
@@ -27,6 +27,9 @@
 			c.propose("last")
 			for id, p := range c.running {
 				eventually(t, fmt.Sprintf("member %d applies all", id), func() bool { return p.journal.count() == 11 })
+				if again := int(c.sentAgain.Load()); p.journal.repeats() > again {
+					t.Errorf("member %d applied %d commands again, %d were sent again", id, p.journal.repeats(), again)
+				}
 			}
 		})
 	}
