--- a/board/board.go
+++ b/board/board.go
@@ -45,6 +45,15 @@
 	Epoch uint64
 }
 
+// RouteDocument is the newest route table as the operator sent it.
+type RouteDocument struct {
+	// Version is the document's own version.
+	Version uint64
+	// Index is the log index that wrote it.
+	Index uint64
+	Body  []byte
+}
+
 // View is an immutable state of the board. Its maps must not be changed.
 type View struct {
 	// Index is the log index up to which replicated records are applied.
@@ -58,6 +67,8 @@
 	Routers       map[topology.VMName]Router
 	Assignments   map[topology.TargetID]Assignment
 	NonIdempotent map[topology.KindName]bool
+	// Routes is nil until the first route document was accepted.
+	Routes *RouteDocument
 }
 
 // IsQuiet reports whether target t must receive no new work.
--- a/board/records/records.go
+++ b/board/records/records.go
@@ -96,6 +96,8 @@
 			Previous: topology.VMName(a.GetPrevious()),
 			Epoch:    rec.GetVersion(),
 		})
+	case rpc.KeyRoutes:
+		return e.routes(rec)
 	case rpc.KeyNonIdempotent:
 		put(edit(&e.kinds, &v.NonIdempotent), topology.KindName(name), gone, true)
 	}
@@ -112,6 +114,15 @@
 	return nil
 }
 
+func (e *viewEdit) routes(rec *pb.Record) error {
+	body, err := rpc.UnpackRoutes(rec.GetRoutes())
+	if err != nil {
+		return err
+	}
+	e.view.Routes = &board.RouteDocument{Version: rec.GetRoutes().GetVersion(), Index: rec.GetVersion(), Body: body}
+	return nil
+}
+
 func quiet(q *pb.QuietRecord) board.Quiet {
 	out := board.Quiet{Intent: q.GetIntent(), Leaving: q.GetLeaving()}
 	if ms := q.GetUntilUnixMs(); ms != 0 {
--- /dev/null
+++ b/cmd/peridotmux-gateway/main.go
@@ -0,0 +1,53 @@
+// Command peridotmux-gateway runs one forwarding router.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/gateway"
+	"github.com/peridotmux/peridotmux/platform"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/telemetry"
+)
+
+const exitFailed = 1
+
+func main() {
+	app := kingpin.New("peridotmux-gateway", "Passes callers' requests on to targets.")
+	path := app.Flag("settings", "The gateway's settings file.").Required().String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	cfg, err := settings.LoadGateway(*path)
+	if err != nil {
+		app.Errorf("%s", err)
+		os.Exit(exitFailed)
+	}
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	log := telemetry.NewLogs(out, cfg.Log).Part(settings.PartRouter)
+	current := settings.Watch(cfg, func() (*settings.Gateway, error) { return settings.LoadGateway(*path) }, *path, log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err = gateway.Run(ctx, gateway.Config{
+		Settings:  cfg,
+		Dialect:   platform.Headers(),
+		PathReady: platform.PathReady,
+		Decode:    platform.DecodeRoutes,
+		Reader:    func(l *slog.Logger) discovery.Reader { return platform.NewList(cfg.List.Addr, l) },
+		Seeds:     func() []netip.AddrPort { return current().Control },
+	}, out)
+	if err != nil {
+		log.Error("gateway failed", "error", trace.UserMessage(err), "report", trace.DebugReport(err))
+	}
+	out.Flush(telemetry.FlushTime)
+	if err != nil {
+		os.Exit(exitFailed)
+	}
+}
--- a/consensus/group/config.go
+++ b/consensus/group/config.go
@@ -52,6 +52,8 @@
 	Bootstrap    bool
 	StateMachine control.StateMachine
 	Log          *slog.Logger
+	// Journal keeps the data folder as a journal, with one sync a write.
+	Journal bool
 	// SnapshotEvery is the number of entries between snapshots.
 	SnapshotEvery uint64
 	// TrailingEntries are kept in memory after a snapshot, for members that are
--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -62,7 +62,11 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	store, state, err := storage.Open(cfg.DataDir)
+	open := storage.Open
+	if cfg.Journal {
+		open = storage.OpenJournal
+	}
+	store, state, err := open(cfg.DataDir)
 	if err != nil {
 		return nil, err
 	}
--- a/consensus/storage/folder.go
+++ b/consensus/storage/folder.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -46,3 +47,13 @@
 	}
 	return err
 }
+
+// syncData syncs a file's content and length.
+func syncData(f *os.File) error {
+	for {
+		err := syscall.Fdatasync(int(f.Fd()))
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -66,7 +66,7 @@
 
 		Metrics: metrics.Control,
 		First:   s.Deployment,
-		Pages:   func(m *mux.Router) { m.Handle(api.PathMetrics, metrics.Handler()) },
+		Pages:   func(m *mux.Router, _ *state.State, _ control.Log) { m.Handle(api.PathMetrics, metrics.Handler()) },
 		Group: func(_ context.Context, sm control.StateMachine) (*server.Group, error) {
 			return openGroup(s, sm, logs.Part(settings.PartConsensus))
 		},
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -59,7 +59,15 @@
 	// Bounds limits what the HTTP server takes; zero for the default.
 	Bounds settings.Bounds
 	// Pages adds other pages to the HTTP server, such as metrics; may be nil.
-	Pages func(*mux.Router)
+	Pages func(*mux.Router, *state.State, control.Log)
+	// VoterAddrs returns the rpc addresses of the voting members; may be nil.
+	VoterAddrs func() []string
+	// Join makes a member a voter, at the leader; nil refuses.
+	Join func(context.Context, *pb.JoinRequest) *pb.JoinResponse
+	// Register adds further rpc services; may be nil.
+	Register func(drpc.Mux) error
+	// Serve is work that runs beside the member, with its state and log; may be nil.
+	Serve func(ctx context.Context, st *state.State, log control.Log) error
 	// First is the deployment of a group that has none yet; may be nil.
 	First *topology.Deployment
 }
@@ -74,6 +82,7 @@
 	}
 	svc := service.New(service.Config{
 		Member: c.Member, State: st, Log: group.Log, Logger: c.Logger, Metrics: c.Metrics,
+		Members: c.VoterAddrs, Join: c.Join,
 	})
 	if group.Run != nil {
 		work.Go(func() error { return group.Run(ctx) })
@@ -83,8 +92,11 @@
 		return nil
 	})
 	work.Go(func() error {
-		return rpc.Serve(ctx, c.RPC, func(m drpc.Mux) error { return register(m, svc, group) })
+		return rpc.Serve(ctx, c.RPC, func(m drpc.Mux) error { return register(m, svc, group, c.Register) })
 	})
+	if c.Serve != nil {
+		work.Go(func() error { return c.Serve(ctx, st, group.Log) })
+	}
 	if c.First != nil {
 		work.Go(func() error {
 			proposeFirst(ctx, group.Log, st, c.First, c.Logger)
@@ -101,17 +113,22 @@
 	return err
 }
 
-func register(m drpc.Mux, svc *service.Service, group *Group) error {
+func register(m drpc.Mux, svc *service.Service, group *Group, more func(drpc.Mux) error) error {
 	if err := pb.DRPCRegisterControl(m, svc); err != nil {
 		return err
 	}
 	if err := pb.DRPCRegisterMember(m, svc); err != nil {
 		return err
 	}
-	if group.Register == nil {
-		return nil
+	for _, add := range []func(drpc.Mux) error{group.Register, more} {
+		if add == nil {
+			continue
+		}
+		if err := add(m); err != nil {
+			return err
+		}
 	}
-	return group.Register(m)
+	return nil
 }
 
 func serveHTTP(ctx context.Context, c Config, group *Group, st *state.State, svc *service.Service) error {
@@ -127,7 +144,7 @@
 		}
 	})
 	if c.Pages != nil {
-		c.Pages(r)
+		c.Pages(r, st, group.Log)
 	}
 	unknown := telemetry.RefuseHandler(&api.Refusal{
 		Code: api.CodeNotFound, Message: "there is no such path or method",
--- a/control/service/follow.go
+++ b/control/service/follow.go
@@ -158,6 +158,9 @@
 		Seq:        q.GetSeq(),
 		LeaderAddr: f.s.log.Leadership().LeaderAddr,
 	}
+	if f.s.members != nil {
+		response.Members = f.s.members()
+	}
 	if !f.started {
 		f.sent = q.GetApplied()
 	}
--- a/control/service/service.go
+++ b/control/service/service.go
@@ -31,6 +31,10 @@
 	Logger *slog.Logger
 	// Metrics may be zero.
 	Metrics telemetry.Control
+	// Members returns the rpc addresses of the voting members; may be nil.
+	Members func() []string
+	// Join makes a member a voter, at the leader; nil refuses.
+	Join func(context.Context, *pb.JoinRequest) *pb.JoinResponse
 }
 
 // Service serves routers and the other members. Run must run meanwhile.
@@ -47,6 +51,8 @@
 	reports *Reports
 	batcher *claimBatcher
 	metrics telemetry.Control
+	members func() []string
+	join    func(context.Context, *pb.JoinRequest) *pb.JoinResponse
 }
 
 // New returns a service.
@@ -61,6 +67,8 @@
 		reports: NewReports(),
 		batcher: newClaimBatcher(c.Log),
 		metrics: c.Metrics,
+		members: c.Members,
+		join:    c.Join,
 	}
 }
 
@@ -90,3 +98,11 @@
 	}
 	return &pb.ReportResponse{Leads: lead.Leads, LeaderAddr: lead.LeaderAddr}, nil
 }
+
+// Join implements the Member service.
+func (s *Service) Join(ctx context.Context, q *pb.JoinRequest) (*pb.JoinResponse, error) {
+	if s.join == nil {
+		return &pb.JoinResponse{Leads: true, Cause: "members of this group are changed by operators"}, nil
+	}
+	return s.join(ctx, q), nil
+}
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -28,6 +28,21 @@
 	Lost     *Lost     `json:"lost,omitempty"`
 	Assign   []Assign  `json:"assign,omitempty"`
 	Claims   []Claim   `json:"claims,omitempty"`
+	Routes   *Routes   `json:"routes,omitempty"`
+	Order    *Order    `json:"order,omitempty"`
+}
+
+// Routes is a whole route document that counts as confirmed. It takes effect
+// if its version is above the one in force.
+type Routes struct {
+	Version uint64 `json:"v"`
+	Body    []byte `json:"b"`
+}
+
+// Order takes a data centre out or brings it back, and counts as confirmed.
+type Order struct {
+	DataCentre topology.DataCentre `json:"dc"`
+	Quiet      bool                `json:"quiet"`
 }
 
 // Submit states an intent.
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -105,6 +105,10 @@
 		s.routerLost(c.Lost)
 	case c.Assign != nil:
 		s.assign(c.Assign)
+	case c.Routes != nil:
+		s.route(c.Routes)
+	case c.Order != nil:
+		s.order(c.Order)
 	}
 }
 
--- /dev/null
+++ b/discovery/source.go
@@ -0,0 +1,111 @@
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// watchPause is the time between two processes that can't be watched.
+	watchPause = 150 * time.Millisecond
+	// readTimeout bounds one reading of the whole list.
+	readTimeout = 1500 * time.Millisecond
+	// lookInterval is the time between two looks whether to read the list.
+	lookInterval = 100 * time.Millisecond
+)
+
+// Reader reads the whole list from the platform.
+type Reader interface {
+	Read(ctx context.Context) ([]Target, error)
+}
+
+// Source keeps an inventory current.
+type Source struct {
+	Inventory *Inventory
+	Reader    Reader
+	// Self names this process to those it watches.
+	Self string
+	// Reads reports whether this process reads the list for others.
+	Reads func() bool
+	// Watched returns the processes to watch, the best first.
+	Watched func() []netip.AddrPort
+	// Interval is the time between two readings.
+	Interval time.Duration
+	// Patience is the age of the list at which this process reads for itself.
+	Patience time.Duration
+	Log      *slog.Logger
+}
+
+// Run watches and reads until ctx ends.
+func (s *Source) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watchLoop(ctx) })
+	wg.Go(func() { s.readLoop(ctx) })
+	wg.Wait()
+}
+
+func (s *Source) watchLoop(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		addrs := s.Watched()
+		if len(addrs) > 0 {
+			addr := addrs[i%len(addrs)]
+			err := watch(ctx, s.Inventory, addr, s.Self, s.Patience)
+			if ctx.Err() != nil {
+				return
+			}
+			s.Log.Warn("inventory source lost", "addr", addr.String(), "error", err)
+		}
+		pause(ctx, watchPause)
+	}
+}
+
+func (s *Source) readLoop(ctx context.Context) {
+	var last time.Time
+	alone := false
+	for ctx.Err() == nil {
+		now := time.Now()
+		stale := s.Inventory.List().Age(now) >= s.Patience
+		if stale != alone && !s.Reads() {
+			alone = stale
+			s.Log.Info("inventory read by this process", "reads", stale, "age", s.Inventory.List().Age(now))
+		}
+		due := now.Sub(last) >= s.Interval
+		if due && (s.Reads() || stale) {
+			last = now
+			if !s.read(ctx, now) {
+				// Callers of a shared rate must not stay in step.
+				last = last.Add(time.Duration(rand.Int64N(int64(s.Interval))))
+			}
+		}
+		pause(ctx, lookInterval)
+	}
+}
+
+func (s *Source) read(ctx context.Context, asked time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	targets, err := s.Reader.Read(ctx)
+	if err != nil {
+		s.Log.Warn("list not read", "error", err, "age", s.Inventory.List().Age(time.Now()))
+		return false
+	}
+	before := len(s.Inventory.List().Targets)
+	s.Inventory.Replace(targets, asked)
+	if before != len(targets) {
+		s.Log.Info("list read", "targets", len(targets), "before", before)
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/discovery/watch.go
@@ -0,0 +1,172 @@
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Server sends an inventory to watchers.
+type Server struct {
+	pb.DRPCInventoryUnimplementedServer
+	inventory *Inventory
+	log       *slog.Logger
+}
+
+// NewServer returns a server of an inventory.
+func NewServer(v *Inventory, log *slog.Logger) *Server { return &Server{inventory: v, log: log} }
+
+// Register adds the service.
+func (s *Server) Register(m drpc.Mux) error { return pb.DRPCRegisterInventory(m, s) }
+
+// Watch sends the list and then what changes until the watcher leaves.
+func (s *Server) Watch(q *pb.WatchRequest, stream pb.DRPCInventory_WatchStream) error {
+	s.log.Info("inventory watched", "watcher", q.GetWatcher())
+	sent := &List{}
+	for {
+		changed := s.inventory.Changed()
+		now := s.inventory.List()
+		if !now.Asked.IsZero() && now != sent {
+			if err := stream.Send(update(sent, now, time.Now())); err != nil {
+				s.log.Info("inventory watcher lost", "watcher", q.GetWatcher(), "error", err)
+				return err
+			}
+			sent = now
+		}
+		select {
+		case <-changed:
+		case <-stream.Context().Done():
+			s.log.Info("inventory watcher left", "watcher", q.GetWatcher())
+			return stream.Context().Err()
+		}
+	}
+}
+
+// update returns what brings a watcher from one list to another.
+func update(from, to *List, now time.Time) *pb.InventoryUpdate {
+	u := &pb.InventoryUpdate{Whole: from.Asked.IsZero(), AgeUs: microseconds(to.Age(now))}
+	for id, t := range to.Targets {
+		if old, ok := from.Targets[id]; !ok || !old.same(t) {
+			u.Entries = append(u.Entries, pack(t, to.Asked))
+		}
+	}
+	for id := range from.Targets {
+		if _, ok := to.Targets[id]; !ok {
+			u.Removed = append(u.Removed, string(id))
+		}
+	}
+	return u
+}
+
+func microseconds(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) } //nolint:gosec // Not negative.
+
+func pack(t *Target, asked time.Time) *pb.InventoryEntry {
+	e := &pb.InventoryEntry{
+		Id: string(t.ID), Service: string(t.Service), Addr: t.Addr.String(), DataCentre: string(t.DataCentre),
+		Slots: uint32(t.Slots), Draining: t.Draining, BornUnixMs: t.BornUnixMS, //nolint:gosec // A small number.
+	}
+	if !t.ColdUntil.IsZero() {
+		e.ColdUs = microseconds(t.ColdUntil.Sub(asked))
+	}
+	return e
+}
+
+func unpack(e *pb.InventoryEntry, asked time.Time) (Target, error) {
+	addr, err := netip.ParseAddrPort(e.GetAddr())
+	if err != nil {
+		return Target{}, &EntryError{ID: e.GetId(), Reason: err.Error()}
+	}
+	t := Target{
+		ID: TargetID(e.GetId()), Service: route.ServiceName(e.GetService()), Addr: addr,
+		DataCentre: topology.DataCentre(e.GetDataCentre()), Slots: int(e.GetSlots()),
+		Draining: e.GetDraining(), BornUnixMS: e.GetBornUnixMs(),
+	}
+	if cold := e.GetColdUs(); cold > 0 {
+		t.ColdUntil = asked.Add(time.Duration(cold) * time.Microsecond) //nolint:gosec // Far below the limit.
+	}
+	return t, nil
+}
+
+// EntryError says that an entry of the list can't be read.
+type EntryError struct {
+	ID     string
+	Reason string
+}
+
+// Error describes the failure.
+func (e *EntryError) Error() string { return "list entry " + e.ID + ": " + e.Reason }
+
+// SilentError says that a watched process sent nothing for too long.
+type SilentError struct {
+	Addr  string
+	After time.Duration
+}
+
+// Error describes the failure.
+func (e *SilentError) Error() string {
+	return "the inventory of " + e.Addr + " was silent for " + e.After.String()
+}
+
+// watch takes updates from the process at addr until that fails or it is
+// silent for longer than silence.
+func watch(ctx context.Context, v *Inventory, addr netip.AddrPort, self string, silence time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn, err := rpc.Dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	quiet := time.AfterFunc(silence, func() {
+		cancel(&SilentError{Addr: addr.String(), After: silence})
+		_ = conn.Close()
+	})
+	defer quiet.Stop()
+	stream, err := pb.NewDRPCInventoryClient(conn).Watch(ctx, &pb.WatchRequest{Watcher: self})
+	if err != nil {
+		return &rpc.ConnectionLostError{Addr: addr.String(), Cause: err}
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				return cause
+			}
+			return &rpc.ConnectionLostError{Addr: addr.String(), Cause: err}
+		}
+		quiet.Reset(silence)
+		if err := take(v, u, time.Now()); err != nil {
+			return err
+		}
+	}
+}
+
+func take(v *Inventory, u *pb.InventoryUpdate, now time.Time) error {
+	asked := now.Add(-time.Duration(u.GetAgeUs()) * time.Microsecond) //nolint:gosec // Far below the limit.
+	targets := make([]Target, 0, len(u.GetEntries()))
+	for _, e := range u.GetEntries() {
+		t, err := unpack(e, asked)
+		if err != nil {
+			return err
+		}
+		targets = append(targets, t)
+	}
+	if u.GetWhole() {
+		v.Replace(targets, asked)
+		return nil
+	}
+	removed := make([]TargetID, len(u.GetRemoved()))
+	for i, id := range u.GetRemoved() {
+		removed[i] = TargetID(id)
+	}
+	v.Change(targets, removed, asked)
+	return nil
+}
--- /dev/null
+++ b/forward/backend.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/internal/connpool"
+)
+
+const (
+	// sampleWeight is the part of a new service time in a target's speed.
+	sampleWeight = 0.25
+	// failSampleWeight is the part of a new outcome in a target's failures.
+	failSampleWeight = 0.15
+	// failMemory is the time in which a target's failures fade to a third.
+	failMemory = 2 * time.Second
+)
+
+// backend is one target as this router sees it. The fleet's lock guards it.
+type backend struct {
+	target *discovery.Target
+	pool   *connpool.Pool
+	// out holds the start of each of this router's requests at the target.
+	out map[*sending]time.Time
+
+	load     Load
+	reported int
+	slowness float64
+	slowAt   time.Time
+	failing  float64
+	failAt   time.Time
+
+	// coldUntil is the later of what the list and health answers said.
+	coldUntil time.Time
+	// doubted says that the target may have restarted: its health is asked for
+	// before it gets more work.
+	doubted bool
+	// checking says that its health is being asked for.
+	checking bool
+	// checkAt is the earliest time to ask for its health again.
+	checkAt time.Time
+	// unhealthy says that its last health answer was a failure.
+	unhealthy bool
+	// gone says that another target answered at its address.
+	gone bool
+}
+
+// sending is one attempt at a backend while it is out.
+type sending struct{ b *backend }
+
+func newBackend(t *discovery.Target, pool *connpool.Pool) *backend {
+	return &backend{target: t, pool: pool, out: make(map[*sending]time.Time), slowness: 1, coldUntil: t.ColdUntil}
+}
+
+// refresh takes a new list entry of the same target. It reports false if the
+// entry is of a later start, which is another backend.
+func (b *backend) refresh(t *discovery.Target) bool {
+	if t.Addr != b.target.Addr || t.BornUnixMS != b.target.BornUnixMS {
+		return false
+	}
+	b.target = t
+	if t.ColdUntil.After(b.coldUntil) {
+		b.coldUntil = t.ColdUntil
+	}
+	return true
+}
+
+// candidate returns what a choice needs to know.
+func (b *backend) candidate(now time.Time, local bool) candidate {
+	c := candidate{
+		inflight: len(b.out), load: b.load, loadAge: loadMemory, reported: b.reported,
+		slots: b.target.Slots, local: local, unhealthy: b.unhealthy,
+		slowness: 1 + (b.slowness-1)*fade(now.Sub(b.slowAt), slowMemory),
+		failing:  b.failing * fade(now.Sub(b.failAt), failMemory),
+	}
+	if !b.load.At.IsZero() {
+		c.loadAge = now.Sub(b.load.At)
+	}
+	for _, at := range b.out {
+		c.oldest = max(c.oldest, now.Sub(at))
+	}
+	return c
+}
+
+// fade returns how much of what was learned some time ago still counts.
+func fade(age, memory time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(memory))
+}
+
+// learn takes in the outcome of one attempt, whose usual service time was
+// median.
+func (b *backend) learn(o *Outcome, median time.Duration, now time.Time) {
+	if o.Cancelled {
+		return
+	}
+	failed := 0.0
+	if !o.Success() && !(o.Verdict == Answered && o.Status < 500) {
+		failed = 1
+	}
+	b.failing = b.failing * fade(now.Sub(b.failAt), failMemory)
+	b.failing += failSampleWeight * (failed - b.failing)
+	b.failAt = now
+	if !o.Load.At.IsZero() {
+		b.load, b.reported = o.Load, len(b.out)
+	}
+	if o.Success() && median > 0 {
+		ratio := float64(o.Service) / float64(median)
+		old := 1 + (b.slowness-1)*fade(now.Sub(b.slowAt), slowMemory)
+		b.slowness = old + sampleWeight*(ratio-old)
+		b.slowAt = now
+	}
+	switch {
+	case o.Foreign:
+		b.gone = true
+	case o.Refused, o.Broken, b.pool.Suspected():
+		b.doubted = true
+		b.pool.DropIdle()
+	case o.Silent:
+		b.pool.DropIdle()
+	}
+}
--- /dev/null
+++ b/forward/fleet.go
@@ -0,0 +1,187 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+const (
+	// connectTimeout bounds the time to connect to a target.
+	connectTimeout = 250 * time.Millisecond
+	// connectionShare is the part of a target's connections that routers use.
+	connectionShare = 0.9
+	// leastConnections is what a router may open to a target in any case.
+	leastConnections = 2
+	// tieShare blurs equal costs, so that routers don't all choose the same target.
+	tieShare = 0.05
+)
+
+// fleet holds the targets as this router sees them.
+type fleet struct {
+	dataCentre topology.DataCentre
+	dialer     net.Dialer
+
+	mu        sync.Mutex
+	byID      map[discovery.TargetID]*backend
+	byService map[route.ServiceName][]*backend
+	// returned is when each data centre came back.
+	returned map[topology.DataCentre]time.Time
+	quiet    map[topology.DataCentre]board.Quiet
+	asked    time.Time
+	routers  int
+	table    *route.Table
+	// listLag is how far the platform's list may be behind.
+	listLag time.Duration
+}
+
+func newFleet(dc topology.DataCentre, listLag time.Duration) *fleet {
+	return &fleet{
+		dataCentre: dc, listLag: listLag,
+		byID:     make(map[discovery.TargetID]*backend),
+		returned: make(map[topology.DataCentre]time.Time),
+		routers:  1,
+	}
+}
+
+// update takes the newest list, records and route table.
+func (f *fleet) update(l *discovery.List, v *board.View, table *route.Table, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for dc := range f.quiet {
+		if _, still := v.QuietDCs[dc]; !still {
+			f.returned[dc] = now
+		}
+	}
+	f.quiet, f.asked, f.table = v.QuietDCs, l.Asked, table
+	f.routers = max(len(v.Routers), 1)
+	f.takeList(l)
+	f.limitConnections()
+}
+
+func (f *fleet) takeList(l *discovery.List) {
+	for id, b := range f.byID {
+		t, ok := l.Targets[id]
+		if ok && b.refresh(t) {
+			continue
+		}
+		delete(f.byID, id)
+		b.pool.Close()
+	}
+	f.byService = make(map[route.ServiceName][]*backend)
+	for id, t := range l.Targets {
+		b := f.byID[id]
+		if b == nil {
+			b = newBackend(t, connpool.New(t.Addr, connpool.Options{
+				MaxConnections: leastConnections, ConnectTimeout: connectTimeout, Dialer: &f.dialer,
+			}))
+			f.byID[id] = b
+		}
+		f.byService[t.Service] = append(f.byService[t.Service], b)
+	}
+}
+
+// limitConnections divides each target's connections among the routers.
+func (f *fleet) limitConnections() {
+	if f.table == nil {
+		return
+	}
+	for name, backends := range f.byService {
+		s, ok := f.table.Services[name]
+		if !ok {
+			continue
+		}
+		most := int(connectionShare * float64(s.MaxConnections) / float64(f.routers))
+		for _, b := range backends {
+			b.pool.SetMaxConnections(max(most, leastConnections))
+		}
+	}
+}
+
+// usable reports whether a target may get work now.
+func (f *fleet) usable(b *backend, now time.Time) bool {
+	if b.target.Draining || b.gone || b.doubted || b.coldUntil.After(now) {
+		return false
+	}
+	dc := b.target.DataCentre
+	if _, quiet := f.quiet[dc]; quiet {
+		return false
+	}
+	back, ok := f.returned[dc]
+	return !ok || f.asked.After(back.Add(f.listLag))
+}
+
+// choose takes the target of a service from which an answer is expected first,
+// and counts the attempt as out. It returns nil if no target can be used.
+func (f *fleet) choose(s route.ServiceName, median time.Duration, tried []*backend, now time.Time) *sending {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *backend
+	var least time.Duration
+	for _, b := range f.byService[s] {
+		if !f.usable(b, now) || contains(tried, b) {
+			continue
+		}
+		c := b.candidate(now, b.target.DataCentre == f.dataCentre)
+		at := cost(&c, median)
+		at += time.Duration(rand.Float64() * tieShare * float64(median))
+		if best == nil || at < least {
+			best, least = b, at
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	x := &sending{b: best}
+	best.out[x] = now
+	return x
+}
+
+func contains(list []*backend, b *backend) bool {
+	for _, x := range list {
+		if x == b {
+			return true
+		}
+	}
+	return false
+}
+
+// done takes in the outcome of an attempt.
+func (f *fleet) done(x *sending, o *Outcome, median time.Duration, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(x.b.out, x)
+	x.b.learn(o, median, now)
+}
+
+// routerCount returns the number of routers that share the targets.
+func (f *fleet) routerCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routers
+}
+
+// nextUsable returns how long it takes until a target of the service is
+// expected to be usable, fallback if that isn't known.
+func (f *fleet) nextUsable(s route.ServiceName, now time.Time, fallback time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := fallback
+	for _, b := range f.byService[s] {
+		if b.target.Draining || b.gone || !b.coldUntil.After(now) {
+			continue
+		}
+		wait = max(wait, 0)
+		if left := b.coldUntil.Sub(now); left < wait || wait == fallback {
+			wait = left
+		}
+	}
+	return wait
+}
--- /dev/null
+++ b/forward/observe.go
@@ -0,0 +1,28 @@
+package forward
+
+import (
+	"time"
+)
+
+// logAnswered writes the line of an answered request.
+func (s *Server) logAnswered(q *request, got *result, missing int) {
+	after := time.Since(q.received)
+	s.cfg.Metrics.Answered(string(q.route.Name), after, missing)
+	late := after > q.route.Objective
+	if !late && missing == 0 && (got == nil || got.outcome.Success()) {
+		return
+	}
+	attrs := []any{
+		"request", q.id, "route", string(q.route.Name), "table", q.table.Version, "after", after,
+		"late", late, "missing", missing,
+	}
+	if got != nil && got.backend != nil {
+		attrs = append(attrs, "status", got.outcome.Status, "target", string(got.backend.target.ID), "hedge", got.hedge)
+	}
+	s.cfg.Log.Info("request answered", attrs...)
+}
+
+func (s *Server) logCallerLeft(q *request) {
+	s.cfg.Log.Info("request given up", "request", q.id, "route", string(q.route.Name),
+		"reason", string(reasonCallerLeft), "after", time.Since(q.received))
+}
--- /dev/null
+++ b/forward/server.go
@@ -0,0 +1,183 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/telemetry"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// Config is what a Server needs.
+type Config struct {
+	Dialect    Dialect
+	DataCentre topology.DataCentre
+	Board      *board.Board
+	Inventory  *discovery.Inventory
+	// Decode reads a route document.
+	Decode func(body []byte) (*route.Table, error)
+	Budget BudgetLimits
+	// ListLag is how far the platform's list may be behind.
+	ListLag time.Duration
+	Log     *slog.Logger
+	Metrics *telemetry.Forward
+}
+
+// Server answers callers. Run must run meanwhile.
+type Server struct {
+	cfg     Config
+	fleet   *fleet
+	budget  *budget
+	typical *typical
+	checker *checker
+	table   atomic.Pointer[route.Table]
+	turns   sync.Map // of route.Name to *atomic.Uint64
+	active  atomic.Int64
+	// closing makes answers ask callers to leave the connection.
+	closing atomic.Bool
+}
+
+// New returns a server that knows no routes yet.
+func New(c Config) *Server {
+	s := &Server{
+		cfg: c, fleet: newFleet(c.DataCentre, c.ListLag),
+		budget: newBudget(c.Budget), typical: newTypical(),
+	}
+	s.checker = &checker{fleet: s.fleet, dialect: &s.cfg.Dialect, log: c.Log}
+	return s
+}
+
+// Ready reports whether the server can answer callers.
+func (s *Server) Ready() bool {
+	return s.table.Load() != nil && !s.cfg.Inventory.List().Asked.IsZero()
+}
+
+// Table returns the route table in force, nil before the first.
+func (s *Server) Table() *route.Table { return s.table.Load() }
+
+// Close makes every answer from now on ask its caller to leave the connection.
+func (s *Server) Close() { s.closing.Store(true) }
+
+// Active returns the number of requests that are being answered.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Run keeps the targets and routes current until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { s.checker.run(ctx) })
+	for ctx.Err() == nil {
+		boardChanged := s.cfg.Board.Changed()
+		listChanged := s.cfg.Inventory.Changed()
+		s.refresh()
+		select {
+		case <-boardChanged:
+		case <-listChanged:
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+}
+
+func (s *Server) refresh() {
+	view, list := s.cfg.Board.View(), s.cfg.Inventory.List()
+	s.takeRoutes(view.Routes)
+	s.fleet.update(list, view, s.table.Load(), time.Now())
+}
+
+// takeRoutes puts a newer route document in force.
+func (s *Server) takeRoutes(d *board.RouteDocument) {
+	if d == nil {
+		return
+	}
+	old := s.table.Load()
+	if old != nil && d.Version <= old.Version {
+		return
+	}
+	table, err := s.cfg.Decode(d.Body)
+	if err != nil {
+		s.cfg.Log.Error("routes not taken", "version", d.Version, "index", d.Index, "error", err)
+		return
+	}
+	s.table.Store(table)
+	before := uint64(0)
+	if old != nil {
+		before = old.Version
+	}
+	s.cfg.Log.Info("routes taken", "version", table.Version, "before", before, "index", d.Index, "routes", len(table.Routes))
+}
+
+// ServeHTTP answers one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	received := time.Now()
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q, refusal := s.read(r, received)
+	if refusal != nil {
+		s.refuse(w, r, q, refusal)
+		return
+	}
+	if q.route.Gather != nil {
+		s.gather(w, r, q)
+		return
+	}
+	s.single(w, r, q)
+}
+
+// read makes a request from what the caller sent.
+func (s *Server) read(r *http.Request, received time.Time) (*request, *refusal) {
+	table := s.table.Load()
+	if table == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRoutes, retryAfter: noRoutesRetry}
+	}
+	path := r.URL.EscapedPath()
+	found := table.Match(r.Host, path)
+	q := &request{
+		id: r.Header.Get(s.cfg.Dialect.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
+		header: r.Header, received: received, route: found, table: table,
+		sized: r.ContentLength > 0 || r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0,
+	}
+	if found == nil {
+		return q, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
+	}
+	q.deadline = received.Add(timeLeft(r.Header.Get(s.cfg.Dialect.TimeLeftMS), found.TimeLimit))
+	for _, service := range found.Services() {
+		if found.Gather != nil || len(found.Split) == 1 {
+			s.budget.request(service, received)
+		}
+	}
+	body, err := readRequestBody(r, table.Limits.BodyBytes)
+	switch {
+	case isTooLarge(err):
+		return q, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, cause: err}
+	case err != nil:
+		return q, &refusal{status: http.StatusBadRequest, reason: reasonBadBody, cause: err}
+	}
+	q.body = body
+	return q, nil
+}
+
+// timeLeft returns how long a request may take.
+func timeLeft(text string, limit time.Duration) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms <= 0 {
+		return limit
+	}
+	return min(limit, time.Duration(ms*float64(time.Millisecond)))
+}
+
+// turn returns the number of a request among those of its route.
+func (s *Server) turn(name route.Name) uint64 {
+	counter, _ := s.turns.LoadOrStore(name, &atomic.Uint64{})
+	return counter.(*atomic.Uint64).Add(1)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,253 @@
+// Package gateway runs one forwarding router: it follows control and the list of
+// targets, and answers callers by passing their requests on.
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/forward"
+	"github.com/peridotmux/peridotmux/lease"
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/router"
+	"github.com/peridotmux/peridotmux/settings"
+	"github.com/peridotmux/peridotmux/telemetry"
+)
+
+const (
+	// balancerLag is how long the platform's balancer may send new connections
+	// after readiness has failed: two questions, one a second, and a margin.
+	balancerLag = 2400 * time.Millisecond
+	// endMargin is kept from the grace time for the end of the process.
+	endMargin = 300 * time.Millisecond
+	// headerTimeout bounds the time that a caller takes for a request's headers
+	// before any route table says so.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may be idle.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+)
+
+// Config is what a gateway needs.
+type Config struct {
+	Settings *settings.Gateway
+	Dialect  forward.Dialect
+	// PathReady is where the balancer asks whether the gateway takes requests.
+	PathReady string
+	Decode    func([]byte) (*route.Table, error)
+	Reader    func(*slog.Logger) discovery.Reader
+	// Seeds returns the newest control addresses of the settings.
+	Seeds func() []netip.AddrPort
+}
+
+// ListenError says that a socket couldn't be opened.
+type ListenError struct {
+	Addr  netip.AddrPort
+	Cause error
+}
+
+// Error describes the failure.
+func (e *ListenError) Error() string {
+	return "can't listen on " + e.Addr.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Gateway is one forwarding router.
+type Gateway struct {
+	cfg       Config
+	log       *slog.Logger
+	board     *board.Board
+	lease     *lease.Lease
+	inventory *discovery.Inventory
+	server    *forward.Server
+	metrics   *telemetry.Metrics
+	leaving   atomic.Bool
+
+	mu      sync.Mutex
+	members []netip.AddrPort
+}
+
+// Run runs a gateway until ctx ends. Log lines go to w.
+func Run(ctx context.Context, c Config, w io.Writer) error {
+	g, err := newGateway(c, w)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(g.run(ctx))
+}
+
+func newGateway(c Config, w io.Writer) (*Gateway, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	logs := telemetry.NewLogs(w, c.Settings.Log)
+	g := &Gateway{
+		cfg: c, log: logs.Part(settings.PartRouter), board: board.New(), lease: lease.New(time.Now()),
+		inventory: discovery.NewInventory(), metrics: metrics,
+	}
+	g.server = forward.New(forward.Config{
+		Dialect:    c.Dialect,
+		DataCentre: c.Settings.VM.DataCentre,
+		Board:      g.board,
+		Inventory:  g.inventory,
+		Decode:     c.Decode,
+		Budget: forward.BudgetLimits{
+			Ratio: c.Settings.Budget.Ratio, Slack: float64(c.Settings.Budget.Slack), Window: c.Settings.Budget.Window,
+		},
+		ListLag: c.Settings.List.Lag,
+		Log:     logs.Part(settings.PartEntry),
+		Metrics: &metrics.Forward,
+	})
+	return g, nil
+}
+
+func (g *Gateway) run(ctx context.Context) error {
+	s := g.cfg.Settings
+	callers, err := listen(s.VM.HTTP)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(s.Readiness)
+	if err != nil {
+		return err
+	}
+	pages, err := listen(s.Pages)
+	if err != nil {
+		return err
+	}
+	g.log.Info("starts", "vm", s.VM.Name, "data_centre", s.VM.DataCentre, "callers", s.VM.HTTP, "control", s.Control)
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { g.follow(base) })
+	wg.Go(func() { g.source().Run(base) })
+	wg.Go(func() { g.server.Run(base) })
+	front := &http.Server{
+		Handler: g.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout}
+	page := &http.Server{Handler: g.pages(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 3)
+	wg.Go(func() { failed <- front.Serve(callers) })
+	wg.Go(func() { failed <- ready.Serve(readiness) })
+	wg.Go(func() { failed <- page.Serve(pages) })
+	defer func() {
+		_ = ready.Close()
+		_ = page.Close()
+	}()
+	select {
+	case err := <-failed:
+		_ = front.Close()
+		return err
+	case <-ctx.Done():
+	}
+	return g.shutdown(front)
+}
+
+// shutdown lets the balancer take the gateway out, then answers what is left.
+func (g *Gateway) shutdown(front *http.Server) error {
+	began := time.Now()
+	g.leaving.Store(true)
+	g.server.Close()
+	lag := min(balancerLag, g.cfg.Settings.Grace/2)
+	g.log.Info("shutdown begins", "balancer_lag", lag, "active", g.server.Active())
+	time.Sleep(lag)
+	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Settings.Grace-lag-endMargin)
+	defer cancel()
+	err := front.Shutdown(ctx)
+	g.log.Info("shutdown ends", "after", time.Since(began), "active", g.server.Active(), "error", err)
+	return nil
+}
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.leaving.Load() || !g.server.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) pages() http.Handler {
+	m := http.NewServeMux()
+	m.Handle(api.PathMetrics, g.metrics.Handler())
+	return m
+}
+
+func (g *Gateway) follow(ctx context.Context) {
+	router.Follow(ctx, router.Following{
+		VM: g.cfg.Settings.VM, Incarnation: rand.Uint64(), Members: g.known, Board: g.board, Lease: g.lease,
+		Log: g.log, Leaving: g.leaving.Load, OnMembers: g.takeMembers, Traffic: g.metrics.Lease,
+	})
+}
+
+func (g *Gateway) source() *discovery.Source {
+	list := g.cfg.Settings.List
+	return &discovery.Source{
+		Inventory: g.inventory,
+		Reader:    g.cfg.Reader(g.log),
+		Self:      string(g.cfg.Settings.VM.Name),
+		Reads:     func() bool { return false },
+		Watched:   g.known,
+		Interval:  discovery.Interval(list.DrainTime),
+		Patience:  discovery.Patience(list.DrainTime),
+		Log:       g.log,
+	}
+}
+
+// known lists the control members known by now: those that control names, then
+// the seeds of the settings.
+func (g *Gateway) known() []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := slices.Clone(g.members)
+	for _, a := range g.cfg.Seeds() {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (g *Gateway) takeMembers(addrs []string) {
+	var members []netip.AddrPort
+	for _, text := range addrs {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			g.log.Warn("control member's address not read", "addr", text, "error", err)
+			continue
+		}
+		members = append(members, a)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !slices.Equal(members, g.members) {
+		g.log.Info("control members known", "members", members, "before", g.members)
+		g.members = members
+	}
+}
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, &ListenError{Addr: addr, Cause: err}
+	}
+	return l, nil
+}
--- a/router/follow.go
+++ b/router/follow.go
@@ -23,6 +23,8 @@
 	memberSilence = 1200 * time.Millisecond
 	// redialPause is the time between two members that can't be reached.
 	redialPause = 100 * time.Millisecond
+	// maxMembers spreads the routers' first choices among members.
+	maxMembers = 840
 )
 
 // SilentMemberError says that a control member gave no lease for too long.
@@ -42,10 +44,12 @@
 	vm          topology.VM
 	incarnation uint64
 	members     []netip.AddrPort
-	board       *board.Board
-	lease       *lease.Lease
-	log         *slog.Logger
-	leaving     func() bool
+	// known returns the members known by now; members if nil.
+	known   func() []netip.AddrPort
+	board   *board.Board
+	lease   *lease.Lease
+	log     *slog.Logger
+	leaving func() bool
 	// load returns the load of the owned targets; nil tells none.
 	load  func() telemetry.OwnerLoad
 	meter loadMeter
@@ -55,6 +59,8 @@
 	traffic telemetry.Lease
 	// onLeader is told the leader's address as the member knows it.
 	onLeader func(addr string)
+	// onMembers is told the members' addresses as a member knows them; may be nil.
+	onMembers func(addrs []string)
 }
 
 // renew asks for a renewal at once.
@@ -68,9 +74,13 @@
 // run follows the members in turn until ctx ends. Routers begin with different
 // members, so that each member serves its share.
 func (f *follower) run(ctx context.Context) {
-	first := int(xxhash.Sum64String(string(f.vm.Name)) % uint64(len(f.members)))
+	first := int(xxhash.Sum64String(string(f.vm.Name)) % maxMembers)
 	for i := first; ctx.Err() == nil; i++ {
-		member := f.members[i%len(f.members)]
+		members := f.members
+		if f.known != nil {
+			members = f.known()
+		}
+		member := members[i%len(members)]
 		err := f.followMember(ctx, member)
 		if ctx.Err() != nil {
 			return
@@ -200,6 +210,9 @@
 		return false, err
 	}
 	s.f.onLeader(r.GetLeaderAddr())
+	if s.f.onMembers != nil && len(r.GetMembers()) > 0 {
+		s.f.onMembers(r.GetMembers())
+	}
 	if r.GetSeq() == 0 {
 		return false, nil
 	}
--- a/rpc/keys.go
+++ b/rpc/keys.go
@@ -1,7 +1,7 @@
 package rpc
 
 // Keys of replicated records are one of these prefixes, then the record's name.
-// The deployment record's name is empty.
+// The names of the deployment record and the routes record are empty.
 const (
 	KeyDeployment    = "deployment/"
 	KeyQuietDC       = "quiet-dc/"
@@ -9,4 +9,5 @@
 	KeyRouter        = "router/"
 	KeyAssignment    = "assignment/"
 	KeyNonIdempotent = "non-idempotent/"
+	KeyRoutes        = "routes/"
 )
--- /dev/null
+++ b/settings/watch.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// watchInterval is the time between two looks at a settings file, which may
+// change without a signal.
+const watchInterval = time.Second
+
+// Watch loads the settings again when the process gets SIGHUP or the file at
+// path changes, and returns a function that gives the newest ones. Settings
+// that can't be taken leave the old ones in force. It works until the process
+// ends.
+func Watch[T any](first *T, load func() (*T, error), path string, log *slog.Logger) func() *T {
+	var current atomic.Pointer[T]
+	current.Store(first)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	seen, _ := os.ReadFile(path) // The file was read a moment ago; a failure shows at the next look.
+	go func() {
+		tick := time.NewTicker(watchInterval)
+		defer tick.Stop()
+		for {
+			signalled := false
+			select {
+			case <-hup:
+				signalled = true
+			case <-tick.C:
+			}
+			now, err := os.ReadFile(path)
+			if err == nil && bytes.Equal(now, seen) {
+				if signalled {
+					log.Info("reload", "cause", "signal", "changed", false)
+				}
+				continue
+			}
+			seen = now
+			next, err := load()
+			if err != nil {
+				log.Error("reload failed; the old settings stay in force", "signal", signalled, "error", err)
+				continue
+			}
+			current.Store(next)
+			log.Info("reload", "signal", signalled, "changed", true)
+		}
+	}()
+	return current.Load
+}
--- a/target/answer.go
+++ b/target/answer.go
@@ -9,16 +9,21 @@
 	"strconv"
 	"strings"
 	"syscall"
+
+	"github.com/peridotmux/peridotmux/internal/connpool"
 )
 
+// maxHeadBytes bounds the head of an answer.
+const maxHeadBytes = 16 << 10
+
 // maxVersions bounds the index versions that one answer may list.
 const maxVersions = 64
 
 // readAnswer reads the answer to a and says whether the connection can be used
 // again.
-func readAnswer(c *conn, a *attempt) (Outcome, bool) {
-	c.lim.N = MaxAnswerBytes + maxHeadBytes
-	resp, err := http.ReadResponse(c.br, nil)
+func readAnswer(c *connpool.Conn, a *attempt) (Outcome, bool) {
+	c.Limit.N = MaxAnswerBytes + maxHeadBytes
+	resp, err := http.ReadResponse(c.Reader, nil)
 	if err != nil {
 		return readFailure(c, err), false
 	}
@@ -70,12 +75,12 @@
 }
 
 // readFailure types a failure to read an answer. The search may have run.
-func readFailure(c *conn, err error) Outcome {
+func readFailure(c *connpool.Conn, err error) Outcome {
 	out := Outcome{Status: Unknown, Reason: ReasonBadAnswer}
 	switch {
 	case isTimeout(err):
 		out.Reason = ReasonConnectionLost
-	case c.lim.N <= 0:
+	case c.Limit.N <= 0:
 		out.Reason = ReasonBadAnswer
 	case isEndOfConnection(err):
 		out.Reason = ReasonConnectionLost
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -6,17 +6,19 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/peridotmux/peridotmux/internal/connpool"
 )
 
 // attempt is one search on its way.
 type attempt struct {
 	client *Client
 	search Search
-	pool   *pool
+	pool   *connpool.Pool
 	number string
 
 	mu   sync.Mutex
-	conn *conn // nil once the search no longer reads from it
+	conn *connpool.Conn // nil once the search no longer reads from it
 }
 
 // maxTries bounds the connections tried. Another one is only tried while not a
@@ -33,7 +35,7 @@
 		if ctx.Err() != nil {
 			return a.notStarted(endReason(ctx))
 		}
-		c, err := a.pool.get(ctx, a.search.ClosedIdle)
+		c, err := a.pool.Get(ctx, a.search.ClosedIdle)
 		if err != nil {
 			return a.notStarted(connectReason(ctx, err))
 		}
@@ -41,8 +43,8 @@
 		if err == nil {
 			return a.receive(ctx, c)
 		}
-		a.pool.setSuspect(true)
-		c.drop()
+		a.pool.SetSuspect(true)
+		c.Drop()
 		if n > 0 {
 			return Outcome{Status: Unknown, Reason: lostReason(ctx)}
 		}
@@ -72,13 +74,13 @@
 }
 
 // send writes the whole search at once and returns how many bytes went out.
-func (a *attempt) send(c *conn) (int, error) {
+func (a *attempt) send(c *connpool.Conn) (int, error) {
 	s := &a.search
-	if err := c.nc.SetDeadline(s.Deadline.Add(deadlineGrace)); err != nil {
+	if err := c.Net.SetDeadline(s.Deadline.Add(deadlineGrace)); err != nil {
 		return 0, err
 	}
 	budget := max(time.Until(s.Deadline), 0).Microseconds()
-	b := appendHead(c.out[:0], "POST "+PathSearch, a.pool.host)
+	b := appendHead(c.Out[:0], "POST "+PathSearch, a.pool.Host())
 	b = appendHeader(b, HeaderAttempt, a.number)
 	b = appendHeader(b, HeaderShard, string(s.Target.Shard))
 	b = appendNumber(b, HeaderIndexVersion, s.IndexVersion)
@@ -88,13 +90,13 @@
 	b = appendNumber(b, "Content-Length", uint64(len(s.Body)))
 	b = append(b, "\r\n"...)
 	b = append(b, s.Body...)
-	c.keepBuffer(b)
-	return c.nc.Write(b)
+	c.KeepBuffer(b)
+	return c.Net.Write(b)
 }
 
 // receive waits for the answer. If ctx ends first, it cancels the search at
 // the target and waits shortly for the target to say so.
-func (a *attempt) receive(ctx context.Context, c *conn) Outcome {
+func (a *attempt) receive(ctx context.Context, c *connpool.Conn) Outcome {
 	a.conn = c
 	stop := context.AfterFunc(ctx, func() { a.withdraw(ctx) })
 	out, reusable := readAnswer(c, a)
@@ -102,14 +104,14 @@
 	a.forget()
 	switch {
 	case out.Process != 0:
-		a.pool.setSuspect(false)
+		a.pool.SetSuspect(false)
 	case out.Reason == ReasonConnectionLost:
-		a.pool.setSuspect(true)
+		a.pool.SetSuspect(true)
 	}
 	if reusable {
-		c.put()
+		c.Put()
 	} else {
-		c.drop()
+		c.Drop()
 	}
 	if out.Reason == ReasonConnectionLost {
 		out.Reason = lostReason(ctx)
@@ -142,7 +144,7 @@
 	a.mu.Lock()
 	waiting := a.conn != nil
 	if waiting {
-		_ = a.conn.nc.SetReadDeadline(time.Now().Add(wait))
+		_ = a.conn.Net.SetReadDeadline(time.Now().Add(wait))
 	}
 	a.mu.Unlock()
 	if waiting && endReason(ctx) == ReasonCancelled {
@@ -159,7 +161,7 @@
 }
 
 func connectReason(ctx context.Context, err error) Reason {
-	var closed *ClosedIdleError
+	var closed *connpool.ClosedIdleError
 	switch {
 	case ctx.Err() != nil:
 		return endReason(ctx)
@@ -171,27 +173,27 @@
 
 // cancel tells the target to end an attempt. The search's own answer says
 // whether it did.
-func (c *Client) cancel(p *pool, number string) {
+func (c *Client) cancel(p *connpool.Pool, number string) {
 	ctx, stop := context.WithTimeout(context.Background(), c.opts.CancelWait)
 	defer stop()
-	conn, err := p.get(ctx, nil)
+	conn, err := p.Get(ctx, nil)
 	if err != nil {
 		return
 	}
-	_ = conn.nc.SetDeadline(time.Now().Add(c.opts.CancelWait))
-	b := appendHead(conn.out[:0], "POST "+PathCancel, p.host)
+	_ = conn.Net.SetDeadline(time.Now().Add(c.opts.CancelWait))
+	b := appendHead(conn.Out[:0], "POST "+PathCancel, p.Host())
 	b = appendHeader(b, HeaderAttempt, number)
 	b = append(b, "Content-Length: 0\r\n\r\n"...)
-	conn.keepBuffer(b)
-	if _, err := conn.nc.Write(b); err != nil {
-		conn.drop()
+	conn.KeepBuffer(b)
+	if _, err := conn.Net.Write(b); err != nil {
+		conn.Drop()
 		return
 	}
 	if _, err := readPlain(conn); err != nil {
-		conn.drop()
+		conn.Drop()
 		return
 	}
-	conn.put()
+	conn.Put()
 }
 
 func appendHead(b []byte, line, host string) []byte {
@@ -213,11 +215,3 @@
 	b = strconv.AppendUint(b, n, 10)
 	return append(b, "\r\n"...)
 }
-
-// keepBuffer keeps a small buffer for the connection's next request.
-func (c *conn) keepBuffer(b []byte) {
-	const largest = 16 << 10
-	if cap(b) <= largest {
-		c.out = b[:0]
-	}
-}
--- a/target/client.go
+++ b/target/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -49,7 +50,7 @@
 	attempt atomic.Uint64
 
 	mu    sync.Mutex
-	pools map[topology.TargetID]*pool
+	pools map[topology.TargetID]*connpool.Pool
 }
 
 var _ Searcher = (*Client)(nil)
@@ -65,7 +66,7 @@
 	if o.CancelWait == 0 {
 		o.CancelWait = DefaultCancelWait
 	}
-	c := &Client{opts: o, pools: make(map[topology.TargetID]*pool)}
+	c := &Client{opts: o, pools: make(map[topology.TargetID]*connpool.Pool)}
 	c.dialer.KeepAlive = time.Minute
 	if o.LocalAddr.IsValid() {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: o.LocalAddr.AsSlice()}
@@ -102,7 +103,7 @@
 	delete(c.pools, id)
 	c.mu.Unlock()
 	if p != nil {
-		p.close()
+		p.Close()
 	}
 }
 
@@ -110,26 +111,28 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	pools := c.pools
-	c.pools = make(map[topology.TargetID]*pool)
+	c.pools = make(map[topology.TargetID]*connpool.Pool)
 	c.mu.Unlock()
 	for _, p := range pools {
-		p.close()
+		p.Close()
 	}
 }
 
 // pool returns the connections to t. A target that moved to another address
 // gets a new pool.
-func (c *Client) pool(t *topology.Target) *pool {
+func (c *Client) pool(t *topology.Target) *connpool.Pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[t.ID]
-	if p != nil && p.addr == t.Addr {
+	if p != nil && p.Addr() == t.Addr {
 		return p
 	}
 	if p != nil {
-		go p.close()
+		go p.Close()
 	}
-	p = newPool(c, t.Addr)
+	p = connpool.New(t.Addr, connpool.Options{
+		MaxConnections: c.opts.MaxConnections, ConnectTimeout: c.opts.ConnectTimeout, Dialer: &c.dialer,
+	})
 	c.pools[t.ID] = p
 	return p
 }
--- a/target/fuzz_test.go
+++ b/target/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -26,9 +27,9 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
-		c := &conn{}
-		c.lim.R = bytes.NewReader(answer)
-		c.br = bufio.NewReaderSize(&c.lim, readBuffer)
+		c := &connpool.Conn{}
+		c.Limit.R = bytes.NewReader(answer)
+		c.Reader = bufio.NewReader(&c.Limit)
 		a := &attempt{number: "42", search: Search{
 			Target: &topology.Target{Shard: "g/00"}, IndexVersion: 4, Deadline: time.Unix(1, 0),
 		}}
--- a/target/health.go
+++ b/target/health.go
@@ -7,13 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
 // readPlain reads an answer without checking whose it is.
-func readPlain(c *conn) ([]byte, error) {
-	c.lim.N = 2 * maxHeadBytes
-	resp, err := http.ReadResponse(c.br, nil)
+func readPlain(c *connpool.Conn) ([]byte, error) {
+	c.Limit.N = 2 * maxHeadBytes
+	resp, err := http.ReadResponse(c.Reader, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -36,7 +37,7 @@
 // Health implements Searcher.
 func (c *Client) Health(ctx context.Context, t *topology.Target) (Health, error) {
 	p := c.pool(t)
-	conn, err := p.get(ctx, nil)
+	conn, err := p.Get(ctx, nil)
 	if err != nil {
 		return Health{}, err
 	}
@@ -44,25 +45,25 @@
 	if !ok {
 		deadline = time.Now().Add(c.opts.ConnectTimeout)
 	}
-	body, err := conn.health(deadline)
+	body, err := health(conn, p.Host(), deadline)
 	if err != nil {
-		conn.drop()
+		conn.Drop()
 		return Health{}, err
 	}
-	conn.put()
+	conn.Put()
 	var h Health
 	err = json.Unmarshal(body, &h)
 	return h, err
 }
 
-func (c *conn) health(deadline time.Time) ([]byte, error) {
-	if err := c.nc.SetDeadline(deadline); err != nil {
+func health(c *connpool.Conn, host string, deadline time.Time) ([]byte, error) {
+	if err := c.Net.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
-	b := appendHead(c.out[:0], "GET "+PathHealth, c.pool.host)
+	b := appendHead(c.Out[:0], "GET "+PathHealth, host)
 	b = append(b, "\r\n"...)
-	c.keepBuffer(b)
-	if _, err := c.nc.Write(b); err != nil {
+	c.KeepBuffer(b)
+	if _, err := c.Net.Write(b); err != nil {
 		return nil, err
 	}
 	return readPlain(c)
--- /dev/null
+++ b/telemetry/forward.go
@@ -0,0 +1,56 @@
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Forward records what becomes of forwarded requests.
+type Forward struct {
+	answered metric.Float64Histogram
+	missing  metric.Int64Counter
+	refused  metric.Int64Counter
+	attempts metric.Float64Histogram
+}
+
+// forwardBounds are the bounds of latency buckets in seconds.
+var forwardBounds = []float64{.002, .005, .01, .02, .03, .04, .06, .08, .12, .2, .3, .5, 1, 2, 5}
+
+func newForward(b *builder) Forward {
+	return Forward{
+		answered: b.histogram("peridotmux_forward_answer_seconds", "s", "Time to the answer, by route.", forwardBounds),
+		missing:  b.counter("peridotmux_forward_missing_parts", "1", "Shards that gathered answers lack, by route."),
+		refused:  b.counter("peridotmux_forward_refusals", "1", "Requests without a target's answer, by reason."),
+		attempts: b.histogram("peridotmux_forward_attempt_seconds", "s", "Time of attempts at targets, by service and outcome.", forwardBounds),
+	}
+}
+
+// Answered records an answer.
+func (f *Forward) Answered(route string, after time.Duration, missing int) {
+	if f.answered == nil {
+		return
+	}
+	by := metric.WithAttributes(attribute.String("route", route))
+	f.answered.Record(context.Background(), after.Seconds(), by)
+	if missing > 0 {
+		f.missing.Add(context.Background(), int64(missing), by)
+	}
+}
+
+// Refused records a refusal.
+func (f *Forward) Refused(reason string) {
+	if f.refused != nil {
+		f.refused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+	}
+}
+
+// Attempt records an attempt at a target.
+func (f *Forward) Attempt(service, outcome string, d time.Duration) {
+	if f.attempts != nil {
+		f.attempts.Record(context.Background(), d.Seconds(),
+			metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+	}
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	Owner   Owner
 	Lease   Lease
 	Control Control
+	Forward Forward
 
 	registry *prometheus.Registry
 	provider *sdk.MeterProvider
@@ -54,6 +55,7 @@
 	m.Owner = newOwner(b)
 	m.Lease = newLease(b)
 	m.Control = newControl(b)
+	m.Forward = newForward(b)
 	if b.err != nil {
 		return nil, b.err
 	}
