Let a member answer whoever writes to it

Ruled out: lost appends; the leader sent them and the learner took them. Change: a batch of messages carries its sender's address, and a member opens a link to a sender it doesn't know. Conclusion: members need not be known beforehand.

--- a/consensus/group/cluster_test.go
+++ b/consensus/group/cluster_test.go
@@ -99,6 +99,8 @@
 	snapshotEvery uint64
 	cuts          *cuts
 	discard       bool
+	// alone is a member whose settings name only itself, none if 0.
+	alone consensus.MemberID
 	// named is how many members the first members' settings name, all if 0.
 	named int
 }
@@ -138,6 +140,9 @@
 	if c.named > 0 {
 		members = members[:max(c.named, int(id))]
 	}
+	if id == c.alone {
+		members = []group.Member{c.member(id)}
+	}
 	g, err := group.Open(group.Config{
 		ID: id, Name: "test", Members: members, DataDir: c.dirs[id], Bootstrap: bootstrap,
 		StateMachine: j, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
--- a/consensus/group/config.go
+++ b/consensus/group/config.go
@@ -111,6 +111,16 @@
 	return nil
 }
 
+// self returns this member as the settings name it.
+func (c *Config) self() Member {
+	for _, m := range c.Members {
+		if m.ID == c.ID {
+			return m
+		}
+	}
+	return Member{ID: c.ID}
+}
+
 func (c *Config) lowest() Member {
 	low := c.Members[0]
 	for _, m := range c.Members {
--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -35,6 +35,8 @@
 	confirms  chan *confirmCall
 	calls     chan func()
 	stopped   chan struct{}
+	// senders holds the ids of members that messages came from.
+	senders sync.Map
 
 	// The rest, up to mu, belongs to the run loop.
 	node       *consensus.Node
--- a/consensus/group/link.go
+++ b/consensus/group/link.go
@@ -118,7 +118,7 @@
 
 // batch joins m with what else waits.
 func (k *link) batch(m consensus.Message) *pb.MessageBatch {
-	b := &pb.MessageBatch{Group: k.cfg.Name}
+	b := &pb.MessageBatch{Group: k.cfg.Name, From: uint64(k.cfg.ID), FromAddr: k.cfg.self().RPC.String()}
 	size := 0
 	for {
 		b.Messages = append(b.Messages, codec.MessageToPB(m))
--- a/consensus/group/server.go
+++ b/consensus/group/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"storj.io/drpc"
 
+	"github.com/peridotmux/peridotmux/consensus"
 	"github.com/peridotmux/peridotmux/consensus/codec"
 	"github.com/peridotmux/peridotmux/consensus/pb"
 )
@@ -34,12 +36,34 @@
 		if err := stream.Send(&pb.Delivered{}); err != nil {
 			return nil
 		}
+		s.g.meet(stream.Context(), batch)
 		if !s.g.receive(stream.Context(), batch) {
 			return nil
 		}
 	}
 }
 
+// meet opens a link to a sender that nothing else names, so that it gets
+// answers.
+func (g *Group) meet(ctx context.Context, batch *pb.MessageBatch) {
+	id := consensus.MemberID(batch.GetFrom())
+	if id == consensus.None || g.met(id) {
+		return
+	}
+	addr, err := netip.ParseAddrPort(batch.GetFromAddr())
+	if err != nil {
+		g.cfg.Log.Warn("consensus sender's address makes no sense", "from", batch.GetFrom(), "addr", batch.GetFromAddr())
+		return
+	}
+	_ = g.call(ctx, func() { g.links.open(id, addr) }) // The sender sends again if this member ends.
+}
+
+// met reports whether a sender was met before, and notes it.
+func (g *Group) met(id consensus.MemberID) bool {
+	_, known := g.senders.LoadOrStore(id, true)
+	return known
+}
+
 func (g *Group) receive(ctx context.Context, batch *pb.MessageBatch) bool {
 	for _, x := range batch.GetMessages() {
 		m, ok := codec.MessageFromPB(x)
