Recover sooner after a power loss; spend retries where requests need them

Ruled out: slow control (0.02 cores); too few targets. Change: members send what they have before a confirmation, which gives no lease; routers keep one idle connection a target after 1 s, and use only open ones for 0.5 s where new ones are refused; 0.4 of the budget is kept for requests that fail without a retry; a gather that can't reach its coverage is refused before anything is sent; targets that fail count 12 service times.

--- a/control/service/follow.go
+++ b/control/service/follow.go
@@ -86,6 +86,9 @@
 		case r := <-newest:
 			silence.Reset(routerSilence)
 			f.seat(r)
+			if err := f.greet(r); err != nil {
+				return err
+			}
 			waiting = &r
 		case c := <-confirmed:
 			busy = false
@@ -126,6 +129,21 @@
 	f.s.seats.renew(r)
 }
 
+// greet sends a router without records what this member has, before any
+// confirmation: they give no lease, but a router that has just started need not
+// wait for an election to know its routes.
+func (f *session) greet(r renewal) error {
+	if f.started || r.request.GetApplied() > 0 {
+		return nil
+	}
+	response := &pb.FollowResponse{}
+	f.fill(response)
+	if response.GetIndex() == 0 {
+		return nil
+	}
+	return f.stream.Send(response)
+}
+
 func (f *session) confirm(ctx context.Context, r renewal, out chan<- confirmation) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -12,9 +12,12 @@
 	// sampleWeight is the part of a new service time in a target's speed.
 	sampleWeight = 0.25
 	// failSampleWeight is the part of a new outcome in a target's failures.
-	failSampleWeight = 0.15
+	failSampleWeight = 0.2
 	// failMemory is the time in which a target's failures fade to a third.
-	failMemory = 2 * time.Second
+	failMemory = 5 * time.Second
+	// crowdedTime is how long a target that refuses new connections is used only
+	// over those that are open.
+	crowdedTime = 500 * time.Millisecond
 )
 
 // backend is one target as this router sees it. The fleet's lock guards it.
@@ -42,6 +45,8 @@
 	checkAt time.Time
 	// unhealthy says that its last health answer was a failure.
 	unhealthy bool
+	// crowdedUntil is when the target may accept more connections.
+	crowdedUntil time.Time
 	// gone says that another target answered at its address.
 	gone bool
 }
@@ -66,6 +71,12 @@
 	return true
 }
 
+// full reports whether one more request would need a connection that the target
+// refuses.
+func (b *backend) full(now time.Time) bool {
+	return b.crowdedUntil.After(now) && len(b.out) >= b.pool.Open()
+}
+
 // candidate returns what a choice needs to know.
 func (b *backend) candidate(now time.Time, local bool) candidate {
 	c := candidate{
@@ -113,6 +124,8 @@
 	switch {
 	case o.Foreign:
 		b.gone = true
+	case o.OverLimit:
+		b.crowdedUntil = now.Add(crowdedTime)
 	case o.Refused, o.Broken, b.pool.Suspected():
 		b.doubted = true
 		b.pool.DropIdle()
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -24,6 +24,9 @@
 	// their windows don't begin together and not every router counts the same.
 	ratioShare = 0.9
 	slackShare = 0.7
+	// ordinaryShare is the part of the room for extra arrivals that only better an
+	// answer; the rest is kept for requests that would fail without one.
+	ordinaryShare = 0.6
 )
 
 // budget counts a router's requests and extra arrivals for each service. Each
@@ -84,13 +87,17 @@
 }
 
 // take counts one extra arrival if the budget has room, with the slack divided
-// among the given number of routers.
-func (b *budget) take(s route.ServiceName, routers int, now time.Time) bool {
+// among the given number of routers. Needed says that the request fails without
+// it.
+func (b *budget) take(s route.ServiceName, routers int, needed bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(s, now)
 	slack := b.limits.Slack * slackShare / float64(max(routers, 1))
 	room := b.limits.Ratio*ratioShare*u.busiest() + slack
+	if !needed {
+		room *= ordinaryShare
+	}
 	if u.spent()+1 > room {
 		return false
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -15,7 +15,7 @@
 	// its queue.
 	busyWeight = 0.15
 	// failWeight is how many service times a target that fails always costs.
-	failWeight = 6
+	failWeight = 12
 	// remoteShare and remoteCost make a target in another data centre dearer.
 	remoteShare = 0.1
 	remoteCost  = 500 * time.Microsecond
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -68,6 +68,9 @@
 	Refused bool
 	// Broken says that the target ended the connection before the answer.
 	Broken bool
+	// OverLimit says that the target ended a connection that had carried nothing
+	// yet, as it does when it has too many.
+	OverLimit bool
 	// Silent says that the time was over before the answer.
 	Silent bool
 	// Cancelled says that the router gave the attempt up.
@@ -135,6 +138,7 @@
 		out.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 		out.Silent = !out.Cancelled && isTimeout(out.Cause)
 		out.Broken = out.Broken && !out.Cancelled && !out.Silent
+		out.OverLimit = out.Broken && !c.Reused
 	}
 	if !reusable || !stop() {
 		c.Drop()
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -20,6 +20,10 @@
 	connectionShare = 0.9
 	// leastConnections is what a router may open to a target in any case.
 	leastConnections = 2
+	// idleTime is how long more than one connection to a target may be idle. After
+	// a power loss a target counts the connections of before for a while, so
+	// routers keep few.
+	idleTime = time.Second
 	// tieShare blurs equal costs, so that routers don't all choose the same target.
 	tieShare = 0.05
 )
@@ -126,7 +130,7 @@
 	var best *backend
 	var least time.Duration
 	for _, b := range f.byService[s] {
-		if !f.usable(b, now) || contains(tried, b) {
+		if !f.usable(b, now) || b.full(now) || contains(tried, b) {
 			continue
 		}
 		c := b.candidate(now, b.target.DataCentre == f.dataCentre)
@@ -161,6 +165,31 @@
 	x.b.learn(o, median, now)
 }
 
+// trim closes idle connections that aren't needed.
+func (f *fleet) trim(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.byID {
+		b.pool.Trim(now.Add(-idleTime))
+	}
+}
+
+// available counts the services that have a usable target.
+func (f *fleet) available(services []route.ServiceName, now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range services {
+		for _, b := range f.byService[s] {
+			if f.usable(b, now) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // routerCount returns the number of routers that share the targets.
 func (f *fleet) routerCount() int {
 	f.mu.Lock()
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -31,6 +31,13 @@
 
 // gather answers a request that goes to one target of each shard.
 func (s *Server) gather(w http.ResponseWriter, r *http.Request, q *request) {
+	if now := time.Now(); s.fleet.available(q.route.Gather.Shards, now) < q.route.Gather.Least() {
+		s.refuse(w, r, q, &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
+			retryAfter: s.fleet.nextUsableOf(q.route.Gather.Shards, now),
+		})
+		return
+	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	stop := context.AfterFunc(r.Context(), cancel)
 	g := s.newGathering(q)
@@ -66,7 +73,7 @@
 
 func (g *gathering) startAll(ctx context.Context) {
 	for i, c := range g.calls {
-		c.start(ctx, i, g.results, false)
+		c.start(ctx, i, g.results, purpose{needed: true})
 	}
 }
 
@@ -137,7 +144,7 @@
 		return
 	}
 	if again {
-		c.start(ctx, r.shard, g.results, false)
+		c.start(ctx, r.shard, g.results, purpose{needed: g.possible() < g.q.route.Gather.Least()})
 	}
 }
 
@@ -146,11 +153,12 @@
 
 // hedgeAll sends the shards that are late to other targets.
 func (g *gathering) hedgeAll(ctx context.Context) {
+	needed := len(g.parts)-g.missing() < g.q.route.Gather.Least()
 	for i, c := range g.calls {
 		if g.parts[i] != nil || c.hedged || c.runs+c.out >= g.q.route.Attempts {
 			continue
 		}
-		c.hedged = c.start(ctx, i, g.results, true)
+		c.hedged = c.start(ctx, i, g.results, purpose{hedge: true, needed: needed})
 	}
 }
 
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -26,7 +26,7 @@
 
 const (
 	// noRoutesRetry is when a caller may come back to a router without routes.
-	noRoutesRetry = 300 * time.Millisecond
+	noRoutesRetry = 700 * time.Millisecond
 	// noTargetRetry is when a caller may come back if nothing says when a target
 	// will be usable.
 	noTargetRetry = 100 * time.Millisecond
--- a/forward/server.go
+++ b/forward/server.go
@@ -73,6 +73,7 @@
 func (s *Server) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { s.checker.run(ctx) })
+	wg.Go(func() { s.trimLoop(ctx) })
 	for ctx.Err() == nil {
 		boardChanged := s.cfg.Board.Changed()
 		listChanged := s.cfg.Inventory.Changed()
@@ -86,6 +87,19 @@
 	wg.Wait()
 }
 
+func (s *Server) trimLoop(ctx context.Context) {
+	tick := time.NewTicker(idleTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.fleet.trim(now)
+		}
+	}
+}
+
 func (s *Server) refresh() {
 	view, list := s.cfg.Board.View(), s.cfg.Inventory.List()
 	s.takeRoutes(view.Routes)
--- a/forward/single.go
+++ b/forward/single.go
@@ -40,16 +40,24 @@
 	begun                 time.Time
 }
 
+// purpose says what an attempt is for.
+type purpose struct {
+	// hedge says that an earlier attempt is still out.
+	hedge bool
+	// needed says that the request fails without the attempt.
+	needed bool
+}
+
 // start sends the request to another target. It reports false if there is none,
 // or if the budget forbids another arrival.
-func (c *call) start(ctx context.Context, shard int, results chan<- result, hedge bool) bool {
+func (c *call) start(ctx context.Context, shard int, results chan<- result, why purpose) bool {
 	now := time.Now()
 	first := len(c.tried) == 0
 	x := c.s.fleet.choose(c.service, c.median, c.tried, now)
 	if x == nil {
 		return false
 	}
-	if !first && !c.s.budget.take(c.service, c.s.fleet.routerCount(), now) {
+	if !first && !c.s.budget.take(c.service, c.s.fleet.routerCount(), why.needed, now) {
 		c.s.fleet.abandon(x)
 		return false
 	}
@@ -69,7 +77,7 @@
 		if out.Success() {
 			c.s.typical.add(c.q.route.Name, out.Service)
 		}
-		results <- result{shard: shard, backend: x.b, outcome: out, hedge: hedge, at: now}
+		results <- result{shard: shard, backend: x.b, outcome: out, hedge: why.hedge, at: now}
 	}()
 	return true
 }
@@ -106,7 +114,7 @@
 	}
 	c := &call{s: s, q: q, service: service, median: median}
 	results := make(chan result, q.route.Attempts+maxRejections+1)
-	if !c.start(ctx, 0, results, false) {
+	if !c.start(ctx, 0, results, purpose{needed: true}) {
 		s.refuse(w, r, q, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
 			retryAfter: s.fleet.nextUsable(service, time.Now(), noTargetRetry),
@@ -132,11 +140,11 @@
 			}
 			last = worse(last, &got)
 			if again {
-				c.start(ctx, 0, results, false)
+				c.start(ctx, 0, results, purpose{needed: c.out == 0})
 			}
 		case <-hedge.C:
 			if c.q.route.Kind == route.Idempotent && c.runs+c.out < c.q.route.Attempts {
-				c.hedged = c.start(ctx, 0, results, true)
+				c.hedged = c.start(ctx, 0, results, purpose{hedge: true})
 			}
 		case <-deadline.C:
 			return worse(last, &result{outcome: Outcome{Verdict: Unknown, Cause: context.DeadlineExceeded}})
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -66,6 +66,8 @@
 	raw  syscall.RawConn
 	// expires is when the target closes the idle connection, zero if unknown.
 	expires time.Time
+	// idleSince is when the connection was put back.
+	idleSince time.Time
 }
 
 // New returns a pool without connections.
@@ -200,6 +202,26 @@
 	}
 }
 
+// Trim closes the connections that have been idle since before a time, but for
+// the one used last.
+func (p *Pool) Trim(before time.Time) {
+	p.mu.Lock()
+	keep := p.idle[:0:0]
+	var drop []*Conn
+	for i, c := range p.idle {
+		if i < len(p.idle)-1 && c.idleSince.Before(before) {
+			drop = append(drop, c)
+			continue
+		}
+		keep = append(keep, c)
+	}
+	p.idle = keep
+	p.mu.Unlock()
+	for _, c := range drop {
+		c.Drop()
+	}
+}
+
 // Close closes idle connections now and the others when they are put back.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -216,6 +238,7 @@
 func (c *Conn) Put() {
 	p := c.pool
 	p.mu.Lock()
+	c.idleSince = time.Now()
 	if !p.closed && p.open <= p.most && c.Reader.Buffered() == 0 {
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
