--- /dev/null
+++ b/forward/gather_test.go
@@ -0,0 +1,135 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/route"
+)
+
+func mustAddr(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
+
+// shardsOf starts two targets for each of n shards. Each answers with two
+// records that name its shard.
+func shardsOf(t *testing.T, n int) (names []route.ServiceName, targets []*standin, entries []discovery.Target) {
+	for i := range n {
+		name := route.ServiceName(fmt.Sprint("s", i))
+		names = append(names, name)
+		for j := range 2 {
+			s := newStandin(t, fmt.Sprintf("t%d-%d", i, j), name)
+			s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) { s.ok(c, r, partOf(i)) }
+			targets = append(targets, s)
+			entries = append(entries, s.entry())
+		}
+	}
+	return names, targets, entries
+}
+
+func partOf(shard int) string {
+	return fmt.Sprintf("%016d%016d-rest", shard*10+1, shard*10)
+}
+
+func TestGatherJoinsTheGreatestRecords(t *testing.T) {
+	names, _, entries := shardsOf(t, 5)
+	f := newFront(t, testTable(names...), entries...)
+	got := f.get("/all/x")
+	want := fmt.Sprintf("%016d%016d%016d", 41, 40, 31)
+	parts := strings.Split(got.header.Get("Parts"), ", ")
+	if got.status != http.StatusOK || got.body != want || got.header.Get("Missing") != "0" || len(parts) != 5 {
+		t.Fatalf("status %d, body %q, missing %q, parts %v", got.status, got.body, got.header.Get("Missing"), parts)
+	}
+}
+
+// A shard that stands still for 1 s is left out at the objective of 300 ms, and
+// the answer says so. The bound leaves room for a busy machine.
+func TestGatherLeavesOutAShardThatStandsStill(t *testing.T) {
+	names, targets, entries := shardsOf(t, 5)
+	for _, s := range targets[:2] {
+		s.answer = func(net.Conn, *http.Request, []byte, int) { time.Sleep(time.Second) }
+	}
+	f := newFront(t, testTable(names...), entries...)
+	begun := time.Now()
+	got := f.get("/all/x")
+	if after := time.Since(begun); got.status != http.StatusOK || got.header.Get("Missing") != "1" || after > 600*time.Millisecond {
+		t.Fatalf("status %d, missing %q after %v", got.status, got.header.Get("Missing"), after)
+	}
+	if strings.Contains(got.header.Get("Parts"), "t0-") {
+		t.Fatalf("parts %q name the shard that is missing", got.header.Get("Parts"))
+	}
+}
+
+// Fewer parts than the least coverage are no success; a request that reached no
+// target is refused as not run, at once.
+func TestGatherUnderItsCoverage(t *testing.T) {
+	names, targets, entries := shardsOf(t, 5)
+	f := newFront(t, testTable(names...), entries...)
+	for _, s := range targets[:6] {
+		s.answer = func(c net.Conn, _ *http.Request, _ []byte, _ int) { _ = c.Close() }
+	}
+	begun := time.Now()
+	if got := f.get("/all/x"); got.status != http.StatusBadGateway || time.Since(begun) > 250*time.Millisecond {
+		t.Fatalf("status %d after %v with three shards lost", got.status, time.Since(begun))
+	}
+	f.setTargets(entries[6:]...)
+	before := len(targets[6].requests()) + len(targets[7].requests())
+	got := f.get("/all/x")
+	after := len(targets[6].requests()) + len(targets[7].requests())
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || before != after {
+		t.Fatalf("status %d, Retry-After %q, %d requests sent", got.status, got.header.Get("Retry-After"), after-before)
+	}
+}
+
+// A target that sheds is replaced by the shard's other one within the request.
+func TestGatherAsksAnotherTargetOfAShardThatSheds(t *testing.T) {
+	names, targets, entries := shardsOf(t, 5)
+	for i, s := range targets {
+		if i%2 == 0 {
+			s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) { s.refuse(c, r) }
+		}
+	}
+	f := newFront(t, testTable(names...), entries...)
+	for i := range 5 {
+		if got := f.send(http.MethodGet, "/all/x", "", fmt.Sprint(i), 1000); got.status != http.StatusOK || got.header.Get("Missing") != "0" {
+			t.Fatalf("status %d, missing %q", got.status, got.header.Get("Missing"))
+		}
+	}
+}
+
+func TestGreatestAgainstSorting(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("the greatest records of all parts, with repeats", prop.ForAll(
+		func(parts []string, top int) bool {
+			bodies := make([][]byte, len(parts))
+			var all []string
+			for i, p := range parts {
+				p = strings.Repeat(p, 9)
+				bodies[i] = []byte(p)
+				for ; len(p) >= recordBytes; p = p[recordBytes:] {
+					all = append(all, p[:recordBytes])
+				}
+			}
+			want := ""
+			for range min(top, len(all)) {
+				best := 0
+				for i := range all {
+					if all[i] > all[best] {
+						best = i
+					}
+				}
+				want += all[best]
+				all = append(all[:best], all[best+1:]...)
+			}
+			return string(greatest(bodies, top)) == want
+		}, gen.SliceOf(gen.AlphaString()), gen.IntRange(1, 20)))
+	properties.TestingRun(t)
+}
