Hedge early while the budget is wide, late where it is narrow

Change: a hedge has an urgency with a share of the budget: early 0.4, at the last useful moment 0.75, needed for the coverage all of it. Answers and refusals log the shards they lack, with attempts, rejections and whether the budget denied one.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/peridotmux/peridotmux/discovery"
@@ -105,9 +106,9 @@
 	if o.Cancelled {
 		return
 	}
-	failed := 0.0
-	if !o.Success() && !(o.Verdict == Answered && o.Status < 500) {
-		failed = 1
+	failed := 1.0
+	if o.Verdict == Answered && o.Status < http.StatusInternalServerError {
+		failed = 0
 	}
 	b.failing = b.failing * fade(now.Sub(b.failAt), failMemory)
 	b.failing += failSampleWeight * (failed - b.failing)
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -21,14 +21,37 @@
 	// budgetBuckets divide a window.
 	budgetBuckets = 20
 	// ratioShare and slackShare are the parts of the limits that routers use, since
-	// their windows don't begin together and not every router counts the same.
-	ratioShare = 0.9
-	slackShare = 0.7
-	// ordinaryShare is the part of the room for extra arrivals that only better an
-	// answer; the rest is kept for requests that would fail without one.
-	ordinaryShare = 0.6
+	// not every arrival at a target falls into the window in which it was sent.
+	ratioShare = 0.95
+	slackShare = 0.8
 )
 
+// urgency says what an extra arrival is worth to its request.
+type urgency uint8
+
+// The urgencies, each with its share of the room.
+const (
+	// early betters an answer that may still come in time without it.
+	early urgency = iota
+	// useful betters an answer that wouldn't come in time without it.
+	useful
+	// needed keeps a request from failing.
+	needed
+)
+
+// share returns the part of the room up to which an urgency may be spent, so that
+// the more urgent find some left.
+func (u urgency) share() float64 {
+	switch u {
+	case early:
+		return 0.4
+	case useful:
+		return 0.75
+	default:
+		return 1
+	}
+}
+
 // budget counts a router's requests and extra arrivals for each service. Each
 // router keeps to the ratio of its own requests and to its part of the slack, so
 // that all together keep the limits without asking each other.
@@ -39,11 +62,12 @@
 	services map[route.ServiceName]*usage
 }
 
-// usage holds the counts of one service in a ring of buckets.
+// usage holds the counts of one service in a ring of buckets. The extra arrivals
+// have one bucket more, so that they cover a whole window at any moment.
 type usage struct {
 	bucket   int64
 	requests [2 * budgetBuckets]float64
-	extra    [budgetBuckets]float64
+	extra    [budgetBuckets + 1]float64
 }
 
 func newBudget(l BudgetLimits) *budget {
@@ -67,14 +91,14 @@
 // advance clears the buckets between the last one used and the current one.
 func (u *usage) advance(to int64) {
 	if to-u.bucket >= int64(len(u.requests)) {
-		u.requests, u.extra = [2 * budgetBuckets]float64{}, [budgetBuckets]float64{}
+		u.requests, u.extra = [2 * budgetBuckets]float64{}, [budgetBuckets + 1]float64{}
 		u.bucket = to
 		return
 	}
 	for u.bucket < to {
 		u.bucket++
 		u.requests[u.bucket%int64(len(u.requests))] = 0
-		u.extra[u.bucket%budgetBuckets] = 0
+		u.extra[u.bucket%(budgetBuckets+1)] = 0
 	}
 }
 
@@ -87,21 +111,17 @@
 }
 
 // take counts one extra arrival if the budget has room, with the slack divided
-// among the given number of routers. Needed says that the request fails without
-// it.
-func (b *budget) take(s route.ServiceName, routers int, needed bool, now time.Time) bool {
+// among the given number of routers.
+func (b *budget) take(s route.ServiceName, routers int, why urgency, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(s, now)
 	slack := b.limits.Slack * slackShare / float64(max(routers, 1))
 	room := b.limits.Ratio*ratioShare*u.busiest() + slack
-	if !needed {
-		room *= ordinaryShare
-	}
-	if u.spent()+1 > room {
+	if u.spent()+1 > room*why.share() {
 		return false
 	}
-	u.extra[u.bucket%budgetBuckets]++
+	u.extra[u.bucket%(budgetBuckets+1)]++
 	return true
 }
 
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -42,7 +42,8 @@
 	unhealthy bool
 }
 
-// cost estimates the time until the target would answer one more request.
+// cost estimates the time until the target would answer one more request, made
+// longer by what may go wrong there.
 func cost(c *candidate, median time.Duration) time.Duration {
 	usual := float64(median) * max(c.slowness, minSlowness)
 	busy := float64(c.inflight) + c.others()
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -122,8 +122,8 @@
 	return !ok || f.asked.After(back.Add(f.listLag))
 }
 
-// choose takes the target of a service from which an answer is expected first,
-// and counts the attempt as out. It returns nil if no target can be used.
+// choose takes the target of a service that costs least, and counts the attempt
+// as out. It returns nil if no target can be used.
 func (f *fleet) choose(s route.ServiceName, median time.Duration, tried []*backend, now time.Time) *sending {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// lastHedgeTimes is how many late service times before the objective a shard is
+	// hedged that the budget didn't allow to be hedged earlier.
+	lastHedgeTimes = 1
 	// leftoverTime is how long attempts that are out when an answer is written go
 	// on, so that their connections can be used again.
 	leftoverTime = 400 * time.Millisecond
@@ -54,7 +57,7 @@
 		return
 	}
 	g.write(w)
-	s.logAnswered(q, nil, g.missing())
+	s.logAnswered(q, nil, g)
 }
 
 func (s *Server) newGathering(q *request) *gathering {
@@ -73,7 +76,7 @@
 
 func (g *gathering) startAll(ctx context.Context) {
 	for i, c := range g.calls {
-		c.start(ctx, i, g.results, purpose{needed: true})
+		c.start(ctx, i, g.results, needed, false)
 	}
 }
 
@@ -87,6 +90,7 @@
 	hedge := time.NewTimer(g.calls[0].hedgeAfter(g.late))
 	defer hedge.Stop()
 	least := g.q.route.Gather.Least()
+	lastHedge := objective.Add(-lastHedgeTimes * g.late)
 	late := false
 	for g.got < len(g.parts) && g.out() && g.possible() >= least {
 		if late && g.got >= least {
@@ -96,7 +100,12 @@
 		case r := <-g.results:
 			g.take(ctx, &r)
 		case <-hedge.C:
-			g.hedgeAll(ctx)
+			g.hedgeAll(ctx, early)
+			hedge.Reset(time.Until(lastHedge))
+			if !time.Now().Before(lastHedge) {
+				g.hedgeAll(ctx, useful)
+				hedge.Stop()
+			}
 		case <-enough.C:
 			late = true
 		case <-deadline.C:
@@ -144,7 +153,7 @@
 		return
 	}
 	if again {
-		c.start(ctx, r.shard, g.results, purpose{needed: g.possible() < g.q.route.Gather.Least()})
+		c.start(ctx, r.shard, g.results, g.retryUrgency(), false)
 	}
 }
 
@@ -152,14 +161,40 @@
 func isPart(signature string) bool { return signature != "" && !strings.ContainsAny(signature, ", ") }
 
 // hedgeAll sends the shards that are late to other targets.
-func (g *gathering) hedgeAll(ctx context.Context) {
-	needed := len(g.parts)-g.missing() < g.q.route.Gather.Least()
+func (g *gathering) hedgeAll(ctx context.Context, why urgency) {
+	if g.got < g.q.route.Gather.Least() && why != early {
+		why = needed
+	}
 	for i, c := range g.calls {
 		if g.parts[i] != nil || c.hedged || c.runs+c.out >= g.q.route.Attempts {
 			continue
 		}
-		c.hedged = c.start(ctx, i, g.results, purpose{hedge: true, needed: needed})
+		c.hedged = c.start(ctx, i, g.results, why, true)
+	}
+}
+
+// retryUrgency tells what another attempt is worth after one failed.
+func (g *gathering) retryUrgency() urgency {
+	if g.possible() < g.q.route.Gather.Least() {
+		return needed
+	}
+	return useful
+}
+
+// lacking describes the shards without a part, for the log.
+func (g *gathering) lacking() []string {
+	var out []string
+	for i, c := range g.calls {
+		if g.parts[i] != nil {
+			continue
+		}
+		text := string(c.service) + " tried=" + strconv.Itoa(len(c.tried)) + " out=" + strconv.Itoa(c.out) + " rejected=" + strconv.Itoa(c.rejections)
+		if c.denied {
+			text += " denied"
+		}
+		out = append(out, text)
 	}
+	return out
 }
 
 func (g *gathering) missing() int { return len(g.parts) - g.got }
@@ -187,7 +222,7 @@
 
 // fail answers a gathering with too few parts.
 func (g *gathering) fail(w http.ResponseWriter, r *http.Request, why reason) {
-	f := &refusal{status: http.StatusBadGateway, reason: why}
+	f := &refusal{status: http.StatusBadGateway, reason: why, lacking: g.lacking()}
 	switch {
 	case g.runs == 0 && !g.out():
 		f.status = http.StatusServiceUnavailable
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -41,6 +41,8 @@
 	// retryAfter is when the caller may come back, 0 if the answer doesn't tell.
 	retryAfter time.Duration
 	cause      error
+	// lacking describes the shards without a part.
+	lacking []string
 }
 
 // refuse writes an answer of the router's own.
--- a/forward/single.go
+++ b/forward/single.go
@@ -37,28 +37,23 @@
 	// out is the number of attempts that are out, runs the number that may have run.
 	out, runs, rejections int
 	hedged                bool
-	begun                 time.Time
-}
-
-// purpose says what an attempt is for.
-type purpose struct {
-	// hedge says that an earlier attempt is still out.
-	hedge bool
-	// needed says that the request fails without the attempt.
-	needed bool
+	// denied says that the budget had no room for another attempt.
+	denied bool
+	begun  time.Time
 }
 
 // start sends the request to another target. It reports false if there is none,
 // or if the budget forbids another arrival.
-func (c *call) start(ctx context.Context, shard int, results chan<- result, why purpose) bool {
+func (c *call) start(ctx context.Context, shard int, results chan<- result, why urgency, hedge bool) bool {
 	now := time.Now()
 	first := len(c.tried) == 0
 	x := c.s.fleet.choose(c.service, c.median, c.tried, now)
 	if x == nil {
 		return false
 	}
-	if !first && !c.s.budget.take(c.service, c.s.fleet.routerCount(), why.needed, now) {
+	if !first && !c.s.budget.take(c.service, c.s.fleet.routerCount(), why, now) {
 		c.s.fleet.abandon(x)
+		c.denied = true
 		return false
 	}
 	if first {
@@ -77,7 +72,7 @@
 		if out.Success() {
 			c.s.typical.add(c.q.route.Name, out.Service)
 		}
-		results <- result{shard: shard, backend: x.b, outcome: out, hedge: why.hedge, at: now}
+		results <- result{shard: shard, backend: x.b, outcome: out, hedge: hedge, at: now}
 	}()
 	return true
 }
@@ -114,7 +109,7 @@
 	}
 	c := &call{s: s, q: q, service: service, median: median}
 	results := make(chan result, q.route.Attempts+maxRejections+1)
-	if !c.start(ctx, 0, results, purpose{needed: true}) {
+	if !c.start(ctx, 0, results, needed, false) {
 		s.refuse(w, r, q, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
 			retryAfter: s.fleet.nextUsable(service, time.Now(), noTargetRetry),
@@ -140,11 +135,11 @@
 			}
 			last = worse(last, &got)
 			if again {
-				c.start(ctx, 0, results, purpose{needed: c.out == 0})
+				c.start(ctx, 0, results, c.retryUrgency(), false)
 			}
 		case <-hedge.C:
 			if c.q.route.Kind == route.Idempotent && c.runs+c.out < c.q.route.Attempts {
-				c.hedged = c.start(ctx, 0, results, purpose{hedge: true})
+				c.hedged = c.start(ctx, 0, results, useful, true)
 			}
 		case <-deadline.C:
 			return worse(last, &result{outcome: Outcome{Verdict: Unknown, Cause: context.DeadlineExceeded}})
@@ -155,6 +150,14 @@
 	return last
 }
 
+// retryUrgency tells what another attempt is worth after one failed.
+func (c *call) retryUrgency() urgency {
+	if c.out == 0 {
+		return needed
+	}
+	return useful
+}
+
 // hedgeAfter returns how long the first attempt may be out before a hedge.
 func (c *call) hedgeAfter(late time.Duration) time.Duration {
 	most := time.Duration(hedgeShare * float64(c.q.route.Objective))
@@ -181,7 +184,7 @@
 		s.logCallerLeft(q)
 	case o.Verdict == Answered:
 		s.pass(w, o)
-		s.logAnswered(q, got, 0)
+		s.logAnswered(q, got, nil)
 	case o.Verdict == NotRun:
 		s.refuse(w, r, q, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNotRun, retryAfter: notRunRetry, cause: o.Cause,
--- a/settings/watch.go
+++ b/settings/watch.go
@@ -28,15 +28,15 @@
 		tick := time.NewTicker(watchInterval)
 		defer tick.Stop()
 		for {
-			signalled := false
+			bySignal := false
 			select {
 			case <-hup:
-				signalled = true
+				bySignal = true
 			case <-tick.C:
 			}
 			now, err := os.ReadFile(path)
 			if err == nil && bytes.Equal(now, seen) {
-				if signalled {
+				if bySignal {
 					log.Info("reload", "cause", "signal", "changed", false)
 				}
 				continue
@@ -44,11 +44,11 @@
 			seen = now
 			next, err := load()
 			if err != nil {
-				log.Error("reload failed; the old settings stay in force", "signal", signalled, "error", err)
+				log.Error("reload failed; the old settings stay in force", "signal", bySignal, "error", err)
 				continue
 			}
 			current.Store(next)
-			log.Info("reload", "signal", signalled, "changed", true)
+			log.Info("reload", "signal", bySignal, "changed", true)
 		}
 	}()
 	return current.Load
