--- a/forward/choose.go
+++ b/forward/choose.go
@@ -17,7 +17,7 @@
 	// failWeight is how many service times a target that fails always costs.
 	failWeight = 12
 	// remoteShare and remoteCost make a target in another data centre dearer.
-	remoteShare = 0.1
+	remoteShare = 0.5
 	remoteCost  = 500 * time.Microsecond
 )
 
