Keep few connections a target where routers are many; learn faster at low rates

Routers see a target 0.6 times a second, so what they learn faded between samples. Answers reached callers up to 8 ms after the objective: the calls of one request to 54 shards occupy a 20 Mbit/s link for 8.6 ms. Routers read the list for themselves when control's leader stopped (688 calls). Ruled out: processor time (0.01 cores a router). Change: where routers would need over 0.4 of a target's connections, a target without an open connection counts 15 ms more and idle ones end after 6 s; a service time counts by the time since the one before; attempts given up count as slow; the link's burst time is kept from the objective; members of control read before routers do; the list is read each 0.42 of the drain time; cold starts end by the earliest reading; Retry-After names when enough shards are expected to be usable.

--- a/control/daemon/formed.go
+++ b/control/daemon/formed.go
@@ -175,7 +175,7 @@
 		Reads:     func() bool { return log.Leadership().Leads },
 		Watched:   func() []netip.AddrPort { return leader(log) },
 		Interval:  discovery.Interval(m.cfg.List.DrainTime),
-		Patience:  discovery.Patience(m.cfg.List.DrainTime),
+		Patience:  discovery.MemberPatience(m.cfg.List.DrainTime),
 		Log:       m.log,
 	}
 	work.Go(func() error {
--- a/discovery/fresh.go
+++ b/discovery/fresh.go
@@ -6,10 +6,17 @@
 // so long, as parts of the time within which a draining target must get no new
 // work.
 const (
-	intervalShare = 0.33
-	patienceShare = 0.7
+	intervalShare = 0.42
+	patienceShare = 0.75
+	// memberPatienceShare is less than patienceShare, so that one member of control
+	// reads before all routers do.
+	memberPatienceShare = 0.55
 )
 
+// StartPatience is how long a router that has just started waits for the list of
+// others before it reads for itself.
+const StartPatience = 400 * time.Millisecond
+
 // Interval returns the time between two readings of the list of targets.
 func Interval(drain time.Duration) time.Duration {
 	return time.Duration(intervalShare * float64(drain))
@@ -19,3 +26,9 @@
 func Patience(drain time.Duration) time.Duration {
 	return time.Duration(patienceShare * float64(drain))
 }
+
+// MemberPatience returns the age of the list at which a member of control reads
+// it although another one leads.
+func MemberPatience(drain time.Duration) time.Duration {
+	return time.Duration(memberPatienceShare * float64(drain))
+}
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -37,7 +37,9 @@
 	Interval time.Duration
 	// Patience is the age of the list at which this process reads for itself.
 	Patience time.Duration
-	Log      *slog.Logger
+	// StartPatience is how long this process waits for its first list.
+	StartPatience time.Duration
+	Log           *slog.Logger
 }
 
 // Run watches and reads until ctx ends.
@@ -66,6 +68,7 @@
 func (s *Source) readLoop(ctx context.Context) {
 	var last time.Time
 	alone := false
+	pause(ctx, s.StartPatience)
 	for ctx.Err() == nil {
 		now := time.Now()
 		stale := s.Inventory.List().Age(now) >= s.Patience
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// sampleWeight is the part of a new service time in a target's speed.
+	// sampleWeight is the least part of a new service time in a target's speed; it
+	// grows with the time since the one before.
 	sampleWeight = 0.25
+	// sampleMemory is the time after which a new service time counts for two thirds.
+	sampleMemory = time.Second
+	// mostSlowness bounds what one service time may say.
+	mostSlowness = 30
 	// failSampleWeight is the part of a new outcome in a target's failures.
 	failSampleWeight = 0.2
 	// failMemory is the time in which a target's failures fade to a third.
@@ -48,6 +53,9 @@
 	unhealthy bool
 	// crowdedUntil is when the target may accept more connections.
 	crowdedUntil time.Time
+	// scarce says that the routers need more connections than the target accepts
+	// with ease, so that each router keeps to few targets.
+	scarce bool
 	// gone says that another target answered at its address.
 	gone bool
 }
@@ -66,12 +74,27 @@
 		return false
 	}
 	b.target = t
-	if t.ColdUntil.After(b.coldUntil) {
-		b.coldUntil = t.ColdUntil
-	}
+	b.coldUntil = laterCold(b.coldUntil, t.ColdUntil)
 	return true
 }
 
+// recold is how much later than before the end of a cold start must be named to
+// mean that the target turned cold again.
+const recold = time.Second
+
+// laterCold returns the end of a cold start from what was known and what the list
+// says now. The list is behind by an unknown time, so each reading names the end
+// or a later time: the earliest of them is the closest.
+func laterCold(known, listed time.Time) time.Time {
+	if listed.IsZero() {
+		return known
+	}
+	if known.IsZero() || listed.Before(known) || listed.Sub(known) > recold {
+		return listed
+	}
+	return known
+}
+
 // full reports whether one more request would need a connection that the target
 // refuses.
 func (b *backend) full(now time.Time) bool {
@@ -83,6 +106,7 @@
 	c := candidate{
 		inflight: len(b.out), load: b.load, loadAge: loadMemory, reported: b.reported,
 		slots: b.target.Slots, local: local, unhealthy: b.unhealthy,
+		connects: b.scarce && b.pool.Idle() == 0,
 		slowness: 1 + (b.slowness-1)*fade(now.Sub(b.slowAt), slowMemory),
 		failing:  b.failing * fade(now.Sub(b.failAt), failMemory),
 	}
@@ -100,10 +124,24 @@
 	return math.Exp(-float64(max(age, 0)) / float64(memory))
 }
 
+// learnSpeed takes in one service time.
+func (b *backend) learnSpeed(service, median time.Duration, now time.Time) {
+	ratio := min(float64(service)/float64(median), mostSlowness)
+	gap := now.Sub(b.slowAt)
+	old := 1 + (b.slowness-1)*fade(gap, slowMemory)
+	weight := max(sampleWeight, 1-fade(gap, sampleMemory))
+	b.slowness = old + weight*(ratio-old)
+	b.slowAt = now
+}
+
 // learn takes in the outcome of one attempt, whose usual service time was
 // median.
 func (b *backend) learn(o *Outcome, median time.Duration, now time.Time) {
 	if o.Cancelled {
+		// The target would have taken longer still.
+		if float64(o.Service) > overdue*float64(median)*max(b.slowness, 1) {
+			b.learnSpeed(o.Service, median, now)
+		}
 		return
 	}
 	failed := 1.0
@@ -117,10 +155,7 @@
 		b.load, b.reported = o.Load, len(b.out)
 	}
 	if o.Success() && median > 0 {
-		ratio := float64(o.Service) / float64(median)
-		old := 1 + (b.slowness-1)*fade(now.Sub(b.slowAt), slowMemory)
-		b.slowness = old + sampleWeight*(ratio-old)
-		b.slowAt = now
+		b.learnSpeed(o.Service, median, now)
 	}
 	switch {
 	case o.Foreign:
--- a/forward/caller.go
+++ b/forward/caller.go
@@ -18,6 +18,18 @@
 	answerTime = 4 * time.Millisecond
 )
 
+// callBytes is about what one call to a target takes on the network.
+const callBytes = 400
+
+// burstTime returns how long the calls of one request to all shards occupy the
+// VM's link. An answer may wait that long behind another request's calls.
+func burstTime(shards int, linkBitsPerSecond float64) time.Duration {
+	if linkBitsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(shards*callBytes*8) / linkBitsPerSecond * float64(time.Second))
+}
+
 // callerKey finds a connection's caller in a request's context.
 type callerKey struct{}
 
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -7,7 +7,7 @@
 	loadMemory = 250 * time.Millisecond
 	// slowMemory is the time in which what was learned of a target's speed fades
 	// to a third.
-	slowMemory = 3 * time.Second
+	slowMemory = 6 * time.Second
 	// overdue is how many usual times a request may be out before its target
 	// counts as stalled.
 	overdue = 2.5
@@ -16,6 +16,8 @@
 	busyWeight = 0.15
 	// failWeight is how many service times a target that fails always costs.
 	failWeight = 12
+	// connectCost is what a new connection to a target with scarce ones counts.
+	connectCost = 15 * time.Millisecond
 	// remoteShare and remoteCost make a target in another data centre dearer.
 	remoteShare = 0.5
 	remoteCost  = 500 * time.Microsecond
@@ -38,6 +40,9 @@
 	// failing is the share of requests that failed lately.
 	failing float64
 	local   bool
+	// connects says that the request would need a new connection, and that those
+	// are scarce.
+	connects bool
 	// unhealthy says that the target's last health answer was a failure.
 	unhealthy bool
 }
@@ -60,6 +65,9 @@
 	if !c.local {
 		total += remoteShare*usual + float64(remoteCost)
 	}
+	if c.connects {
+		total += float64(connectCost)
+	}
 	return time.Duration(total)
 }
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,14 @@
 	connectTimeout = 250 * time.Millisecond
 	// connectionShare is the part of a target's connections that routers use.
 	connectionShare = 0.9
+	// easyShare is the part of a target's connections up to which every router may
+	// keep one: after a power loss a target counts the old ones besides the new.
+	easyShare = 0.4
 	// leastConnections is what a router may open to a target in any case.
 	leastConnections = 2
+	// lastIdleTime is how long the only connection to a target may be idle where
+	// connections are scarce.
+	lastIdleTime = 6 * time.Second
 	// idleTime is how long more than one connection to a target may be idle. After
 	// a power loss a target counts the connections of before for a while, so
 	// routers keep few.
@@ -103,7 +110,9 @@
 			continue
 		}
 		most := int(connectionShare * float64(s.MaxConnections) / float64(f.routers))
+		scarce := easyShare*float64(s.MaxConnections) < float64(f.routers)
 		for _, b := range backends {
+			b.scarce = scarce
 			b.pool.SetMaxConnections(max(most, leastConnections))
 		}
 	}
@@ -170,7 +179,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, b := range f.byID {
-		b.pool.Trim(now.Add(-idleTime))
+		last := time.Time{}
+		if b.scarce {
+			last = now.Add(-lastIdleTime)
+		}
+		b.pool.Trim(now.Add(-idleTime), last)
 	}
 }
 
@@ -197,20 +210,38 @@
 	return f.routers
 }
 
-// nextUsable returns how long it takes until a target of the service is
-// expected to be usable, fallback if that isn't known.
-func (f *fleet) nextUsable(s route.ServiceName, now time.Time, fallback time.Duration) time.Duration {
+// usableIn returns how long it takes until that many of several services are
+// expected to have a usable target.
+func (f *fleet) usableIn(services []route.ServiceName, count int, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait := fallback
+	var waits []time.Duration
+	for _, s := range services {
+		waits = append(waits, f.serviceUsableIn(s, now))
+	}
+	slices.Sort(waits)
+	count = min(max(count, 1), len(waits))
+	return min(max(waits[count-1], leastRetry), mostRetry)
+}
+
+// serviceUsableIn returns how long it takes until a target of the service is
+// expected to be usable, noTargetRetry if nothing tells.
+func (f *fleet) serviceUsableIn(s route.ServiceName, now time.Time) time.Duration {
+	wait := time.Duration(-1)
 	for _, b := range f.byService[s] {
-		if b.target.Draining || b.gone || !b.coldUntil.After(now) {
+		if f.usable(b, now) {
+			return 0
+		}
+		left := b.coldUntil.Sub(now)
+		if b.target.Draining || b.gone || b.doubted || left <= 0 {
 			continue
 		}
-		wait = max(wait, 0)
-		if left := b.coldUntil.Sub(now); left < wait || wait == fallback {
+		if wait < 0 || left < wait {
 			wait = left
 		}
 	}
+	if wait < 0 {
+		return noTargetRetry
+	}
 	return wait
 }
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -37,7 +37,7 @@
 	if now := time.Now(); s.fleet.available(q.route.Gather.Shards, now) < q.route.Gather.Least() {
 		s.refuse(w, r, q, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
-			retryAfter: s.fleet.nextUsableOf(q.route.Gather.Shards, now),
+			retryAfter: s.fleet.usableIn(q.route.Gather.Shards, q.route.Gather.Least(), now),
 		})
 		return
 	}
@@ -82,7 +82,7 @@
 
 // await takes parts until all are in, or waiting for more isn't worth while.
 func (g *gathering) await(ctx context.Context) reason {
-	objective := g.q.received.Add(g.q.route.Objective - g.q.allowance)
+	objective := g.q.received.Add(g.q.route.Objective - g.q.allowance - burstTime(len(g.calls), g.s.cfg.LinkBitsPerSecond))
 	enough := time.NewTimer(time.Until(objective))
 	defer enough.Stop()
 	deadline := time.NewTimer(time.Until(g.q.deadline))
@@ -227,7 +227,7 @@
 	case g.runs == 0 && !g.out():
 		f.status = http.StatusServiceUnavailable
 		f.reason = reasonNoTarget
-		f.retryAfter = g.s.fleet.nextUsableOf(g.unserved(), time.Now())
+		f.retryAfter = g.s.fleet.usableIn(g.unserved(), len(g.unserved())-len(g.calls)+g.q.route.Gather.Least(), time.Now())
 	case why == reasonDeadline:
 		f.status = http.StatusGatewayTimeout
 	}
@@ -244,13 +244,3 @@
 	}
 	return out
 }
-
-// nextUsableOf returns when the first of several services is expected to be
-// usable.
-func (f *fleet) nextUsableOf(services []route.ServiceName, now time.Time) time.Duration {
-	least := noTargetRetry
-	for _, s := range services {
-		least = min(least, f.nextUsable(s, now, noTargetRetry))
-	}
-	return least
-}
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -30,6 +30,9 @@
 	// noTargetRetry is when a caller may come back if nothing says when a target
 	// will be usable.
 	noTargetRetry = 100 * time.Millisecond
+	// leastRetry and mostRetry bound when a caller may come back.
+	leastRetry = 20 * time.Millisecond
+	mostRetry  = 2 * time.Second
 	// notRunRetry is when a caller may come back after targets had no room.
 	notRunRetry = 30 * time.Millisecond
 )
--- a/forward/server.go
+++ b/forward/server.go
@@ -27,8 +27,10 @@
 	Budget BudgetLimits
 	// ListLag is how far the platform's list may be behind.
 	ListLag time.Duration
-	Log     *slog.Logger
-	Metrics *telemetry.Forward
+	// LinkBitsPerSecond is the rate of the VM's link, 0 if unknown.
+	LinkBitsPerSecond float64
+	Log               *slog.Logger
+	Metrics           *telemetry.Forward
 }
 
 // Server answers callers. Run must run meanwhile.
--- a/forward/single.go
+++ b/forward/single.go
@@ -112,7 +112,7 @@
 	if !c.start(ctx, 0, results, needed, false) {
 		s.refuse(w, r, q, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
-			retryAfter: s.fleet.nextUsable(service, time.Now(), noTargetRetry),
+			retryAfter: s.fleet.usableIn([]route.ServiceName{service}, 1, time.Now()),
 		})
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's connection may be idle.
 	idleTimeout = 60 * time.Second
+	// bitsPerMegabit turns a link's rate into bits.
+	bitsPerMegabit = 1e6
 	// maxHeaderBytes bounds a request's headers.
 	maxHeaderBytes = 64 << 10
 )
@@ -112,9 +114,10 @@
 		Budget: forward.BudgetLimits{
 			Ratio: c.Settings.Budget.Ratio, Slack: float64(c.Settings.Budget.Slack), Window: c.Settings.Budget.Window,
 		},
-		ListLag: c.Settings.List.Lag,
-		Log:     logs.Part(settings.PartEntry),
-		Metrics: &metrics.Forward,
+		ListLag:           c.Settings.List.Lag,
+		LinkBitsPerSecond: c.Settings.LinkMbps * bitsPerMegabit,
+		Log:               logs.Part(settings.PartEntry),
+		Metrics:           &metrics.Forward,
 	})
 	return g, nil
 }
@@ -201,14 +204,15 @@
 func (g *Gateway) source() *discovery.Source {
 	list := g.cfg.Settings.List
 	return &discovery.Source{
-		Inventory: g.inventory,
-		Reader:    g.cfg.Reader(g.log),
-		Self:      string(g.cfg.Settings.VM.Name),
-		Reads:     func() bool { return false },
-		Watched:   g.known,
-		Interval:  discovery.Interval(list.DrainTime),
-		Patience:  discovery.Patience(list.DrainTime),
-		Log:       g.log,
+		Inventory:     g.inventory,
+		Reader:        g.cfg.Reader(g.log),
+		Self:          string(g.cfg.Settings.VM.Name),
+		Reads:         func() bool { return false },
+		Watched:       g.known,
+		Interval:      discovery.Interval(list.DrainTime),
+		Patience:      discovery.Patience(list.DrainTime),
+		StartPatience: discovery.StartPatience,
+		Log:           g.log,
 	}
 }
 
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -202,14 +202,25 @@
 	}
 }
 
-// Trim closes the connections that have been idle since before a time, but for
-// the one used last.
-func (p *Pool) Trim(before time.Time) {
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
+// Trim closes the connections that have been idle since before a time, and the
+// one used last if it has been idle since before last.
+func (p *Pool) Trim(before, last time.Time) {
 	p.mu.Lock()
 	keep := p.idle[:0:0]
 	var drop []*Conn
 	for i, c := range p.idle {
-		if i < len(p.idle)-1 && c.idleSince.Before(before) {
+		limit := before
+		if i == len(p.idle)-1 {
+			limit = last
+		}
+		if c.idleSince.Before(limit) {
 			drop = append(drop, c)
 			continue
 		}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -52,6 +52,8 @@
 	Grace time.Duration
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int
+	// LinkMbps is the rate of the VM's network link in Mbit/s.
+	LinkMbps float64
 	Log      Log
 	Bounds   Bounds
 }
@@ -69,6 +71,7 @@
 		Pages:     required(s, "pages", addrValue),
 		Grace:     required(s, "grace", durationValue(time.Second, maxTimeout)),
 		MemoryMB:  required(s, "memory_mb", countValue(maxMemoryMB)),
+		LinkMbps:  required(s, "link_mbps", weightValue),
 		Control:   readSeeds(s),
 		Budget:    readBudget(d),
 		List:      readTargetList(d),
