--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,153 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func route1(name, host, prefix string) Route {
+	return Route{
+		Name: Name(name), Host: host, Prefix: prefix, Kind: Idempotent, TimeLimit: time.Second, Attempts: 1,
+		Split: []Share{{Service: "s", Weight: 1}},
+	}
+}
+
+func table1(routes ...Route) *Table {
+	return &Table{Version: 1, Routes: routes, Services: map[ServiceName]Service{"s": {Name: "s"}, "t": {Name: "t"}}}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	x := table1(route1("a", "h.example", "/"), route1("b", "h.example", "/x/"), route1("c", "h.example", "/x/y/"), route1("d", "other", "/x/y/z/"))
+	if err := x.Index(); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/", "a"},
+		{"h.example", "/x", "a"},
+		{"h.example", "/x/", "b"},
+		{"H.Example:80", "/x/q", "b"},
+		{"h.example", "/x/y/z/q", "c"},
+		{"other", "/x/y/z/q", "d"},
+		{"other", "/x/y/", ""},
+		{"nobody", "/", ""},
+		{"h.example", "", ""},
+	} {
+		got := ""
+		if r := x.Match(c.host, c.path); r != nil {
+			got = string(r.Name)
+		}
+		if got != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Match against the plain way: the longest of all prefixes that begin the path.
+func TestMatchAgainstTheNaiveWay(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	parts := gen.SliceOf(gen.OneConstOf("a", "b", "ab"))
+	properties.Property("longest prefix", prop.ForAll(func(prefixes [][]string, path []string) bool {
+		x := table1()
+		seen := map[string]bool{}
+		for i, p := range prefixes {
+			prefix := "/" + strings.Join(append(p, ""), "/")
+			prefix = strings.ReplaceAll(prefix, "//", "/")
+			if !seen[prefix] {
+				seen[prefix] = true
+				x.Routes = append(x.Routes, route1(fmt.Sprint(i), "h", prefix))
+			}
+		}
+		if err := x.Index(); err != nil {
+			return false
+		}
+		asked := "/" + strings.Join(path, "/")
+		want := ""
+		for prefix := range seen {
+			if strings.HasPrefix(asked, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		r := x.Match("h", asked)
+		return (r == nil && want == "") || (r != nil && r.Prefix == want)
+	}, gen.SliceOf(parts), parts))
+	properties.TestingRun(t)
+}
+
+func TestTablesThatCantBeTaken(t *testing.T) {
+	change := func(edit func(*Route)) Route {
+		r := route1("r", "h", "/")
+		edit(&r)
+		return r
+	}
+	gather := func(shards ...ServiceName) func(*Route) {
+		return func(r *Route) { r.Split, r.Gather = nil, &Gather{Shards: shards, Top: 1} }
+	}
+	for name, r := range map[string]Route{
+		"unknown service":      change(func(r *Route) { r.Split[0].Service = "nobody" }),
+		"no time limit":        change(func(r *Route) { r.TimeLimit = 0 }),
+		"weights of 0":         change(func(r *Route) { r.Split[0].Weight = 0 }),
+		"negative weight":      change(func(r *Route) { r.Split = append(r.Split, Share{"t", -1}) }),
+		"no service":           change(func(r *Route) { r.Split = nil }),
+		"no slash at the end":  change(func(r *Route) { r.Prefix = "/x" }),
+		"no attempt":           change(func(r *Route) { r.Attempts = 0 }),
+		"a shard twice":        change(gather("s", "s")),
+		"unknown shard":        change(gather("s", "nobody")),
+		"gather not repeated":  change(func(r *Route) { gather("s")(r); r.Kind = NonIdempotent }),
+		"coverage above 1":     change(func(r *Route) { gather("s")(r); r.Gather.MinCoverage = 1.1 }),
+		"one target and more":  change(func(r *Route) { s := r.Split; gather("s")(r); r.Split = s }),
+		"no record in answers": change(func(r *Route) { gather("s")(r); r.Gather.Top = 0 }),
+	} {
+		var fault *Fault
+		if err := table1(r).Index(); !errors.As(err, &fault) || !strings.Contains(fault.Place, `"r"`) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	var fault *Fault
+	if err := table1(route1("a", "h", "/x/"), route1("b", "H:80", "/x/")).Index(); !errors.As(err, &fault) {
+		t.Errorf("the same host and prefix: %v", err)
+	}
+	if err := (&Table{}).Index(); !errors.As(err, &fault) {
+		t.Errorf("no version: %v", err)
+	}
+}
+
+func TestLeastCoverage(t *testing.T) {
+	for _, c := range []struct {
+		shards int
+		share  float64
+		want   int
+	}{{10, 0.89, 9}, {10, 0.9, 9}, {10, 0.75, 8}, {36, 0.95, 35}, {15, 0.89, 14}, {10, 0, 1}, {10, 1, 10}, {1, 0.5, 1}} {
+		g := Gather{Shards: make([]ServiceName, c.shards), MinCoverage: c.share}
+		if got := g.Least(); got != c.want {
+			t.Errorf("%v of %d shards: at least %d, want %d", c.share, c.shards, got, c.want)
+		}
+	}
+}
+
+// Over any 300 requests in a row each service gets its weight's share within a
+// tenth.
+func TestSplitKeepsToItsWeights(t *testing.T) {
+	split := []Share{{"a", 1}, {"b", 0}, {"c", 3}, {"d", 6}}
+	for start := range uint64(2000) {
+		counts := map[ServiceName]int{}
+		for turn := range uint64(300) {
+			counts[Pick(split, start+turn)]++
+		}
+		for _, s := range split {
+			if off := math.Abs(float64(counts[s.Service])/300 - s.Weight/10); off > 0.1 {
+				t.Fatalf("from turn %d service %s is %.3f off", start, s.Service, off)
+			}
+		}
+		if counts["b"] > 0 {
+			t.Fatal("a weight of 0 got requests")
+		}
+	}
+}
