--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,182 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/peridotmux/peridotmux/rpc"
+)
+
+func target(i int) Target {
+	return Target{
+		ID: TargetID(fmt.Sprint("t", i)), Service: "s", DataCentre: "dc", Slots: 2,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+i)),
+	}
+}
+
+// listReader is a platform whose list a test changes.
+type listReader struct {
+	calls atomic.Int64
+	fail  atomic.Bool
+	list  atomic.Pointer[[]Target]
+}
+
+// failedError says that a test let a reading fail.
+type failedError struct{}
+
+func (failedError) Error() string { return "failed" }
+
+func (r *listReader) Read(context.Context) ([]Target, error) {
+	r.calls.Add(1)
+	if r.fail.Load() {
+		return nil, failedError{}
+	}
+	return append([]Target(nil), *r.list.Load()...), nil
+}
+
+func (r *listReader) set(targets ...Target) { r.list.Store(&targets) }
+
+// node is one process with a list, a reader and a server.
+type node struct {
+	inventory *Inventory
+	addr      netip.AddrPort
+	stop      context.CancelFunc
+}
+
+func startNode(t *testing.T, name string, r Reader, reads bool, watched ...netip.AddrPort) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	n := &node{inventory: NewInventory(), addr: netip.MustParseAddrPort(l.Addr().String()), stop: cancel}
+	log := slog.New(slog.DiscardHandler)
+	go func() {
+		_ = rpc.Serve(ctx, l, func(m drpc.Mux) error { return NewServer(n.inventory, log).Register(m) })
+	}()
+	s := &Source{
+		Inventory: n.inventory, Reader: r, Self: name, Reads: func() bool { return reads },
+		Watched:  func() []netip.AddrPort { return watched },
+		Interval: 50 * time.Millisecond, Patience: 400 * time.Millisecond, StartPatience: 200 * time.Millisecond, Log: log,
+	}
+	go s.Run(ctx)
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("not in time: ", what)
+		}
+	}
+}
+
+func (n *node) has(targets ...Target) bool {
+	got := n.inventory.List().Targets
+	if len(got) != len(targets) {
+		return false
+	}
+	for i := range targets {
+		if x := got[targets[i].ID]; x == nil || !x.same(&targets[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// One process reads for all; changes and removals reach a watcher over another
+// one.
+func TestListIsReadOnceForAll(t *testing.T) {
+	r, unused := &listReader{}, &listReader{}
+	a, b := target(1), target(2)
+	r.set(a, b)
+	unused.set()
+	leader := startNode(t, "leader", r, true)
+	member := startNode(t, "member", unused, false, leader.addr)
+	router := startNode(t, "router", unused, false, member.addr)
+	eventually(t, "the first list", func() bool { return router.has(a, b) })
+	b.Draining = true
+	r.set(b)
+	eventually(t, "a change and a removal", func() bool { return router.has(b) })
+	before := unused.calls.Load()
+	time.Sleep(300 * time.Millisecond)
+	if n := unused.calls.Load(); n != before {
+		t.Fatalf("%d readings beside the leader's", n-before)
+	}
+}
+
+// Whoever hears nothing for too long reads for itself, and stops once it hears
+// again.
+func TestSilenceMakesAProcessRead(t *testing.T) {
+	r, own := &listReader{}, &listReader{}
+	r.set(target(1))
+	own.set(target(2))
+	leader := startNode(t, "leader", r, true)
+	router := startNode(t, "router", own, false, leader.addr)
+	eventually(t, "the leader's list", func() bool { return router.has(target(1)) })
+	leader.stop()
+	eventually(t, "an own list", func() bool { return router.has(target(2)) })
+}
+
+// A list that can't be read leaves the one before in force.
+func TestFailedReadingKeepsTheList(t *testing.T) {
+	r := &listReader{}
+	r.set(target(1))
+	n := startNode(t, "leader", r, true)
+	eventually(t, "the list", func() bool { return n.has(target(1)) })
+	r.fail.Store(true)
+	before := r.calls.Load()
+	eventually(t, "a failed reading", func() bool { return r.calls.Load() > before })
+	if !n.has(target(1)) {
+		t.Fatal("the list is gone")
+	}
+}
+
+func TestOlderListIsDropped(t *testing.T) {
+	v := NewInventory()
+	now := time.Now()
+	if !v.Replace([]Target{target(1)}, now) || v.Replace([]Target{target(2)}, now.Add(-time.Second)) {
+		t.Fatal("an older list was taken")
+	}
+}
+
+// An update brings any list to any other.
+func TestUpdateBringsOneListToAnother(t *testing.T) {
+	now := time.Now()
+	lists := [][]Target{{}, {target(1)}, {target(1), target(2)}, {target(2), target(3)}}
+	cold := target(1)
+	cold.ColdUntil = now.Add(2 * time.Second)
+	again := target(2)
+	again.BornUnixMS = 99
+	lists = append(lists, []Target{cold, again})
+	for i, from := range lists {
+		for j, to := range lists {
+			source, watcher := NewInventory(), NewInventory()
+			source.Replace(from, now)
+			first := source.List()
+			if err := take(watcher, update(&List{}, first, now), now); err != nil {
+				t.Fatal(err)
+			}
+			source.Replace(to, now)
+			if err := take(watcher, update(first, source.List(), now), now.Add(time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			n := &node{inventory: watcher}
+			if !n.has(to...) {
+				t.Errorf("from list %d to %d: %v", i, j, reflect.ValueOf(watcher.List().Targets).Len())
+			}
+		}
+	}
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -166,7 +166,7 @@
 	if found == nil {
 		return q, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
-	q.deadline = received.Add(timeLeft(r.Header.Get(s.cfg.Dialect.TimeLeftMS), found.TimeLimit))
+	q.deadline = received.Add(timeLeft(r.Header.Get(s.cfg.Dialect.TimeLeftMS), q.allowance, found.TimeLimit))
 	for _, service := range found.Services() {
 		if found.Gather != nil || len(found.Split) == 1 {
 			s.budget.request(service, received)
@@ -183,13 +183,15 @@
 	return q, nil
 }
 
-// timeLeft returns how long a request may take.
-func timeLeft(text string, limit time.Duration) time.Duration {
+// timeLeft returns how long a request may take, so that its final answer reaches
+// the caller before that stops waiting.
+func timeLeft(text string, allowance, limit time.Duration) time.Duration {
 	ms, err := strconv.ParseFloat(text, 64)
 	if err != nil || ms <= 0 {
 		return limit
 	}
-	return min(limit, time.Duration(ms*float64(time.Millisecond)))
+	left := time.Duration(ms * float64(time.Millisecond))
+	return min(limit, max(left-allowance, left/2))
 }
 
 // turn returns the number of a request among those of its route.
