Try equal targets in turn

Cause: TestSlowTargetIsEjectedProbedAndReadmitted failed 3 of 20 runs (2 of 10 today): the target got 0 of 200 searches. A dump of the owner's state showed that it was never slow: with the targets held in the other order (a map's), every search went to the first, since of two equal costs the first stayed, and a target without a recent search counts exactly as its best peer. Ruled out: ejection, probes, ramps (latency 0, no probe, limit 2, nothing running). Change: of two targets with equal costs the one tried less lately is taken. Figures: TestEqualTargetsAreTriedInTurn failed before (0 of 40 searches); both tests pass 40 of 40 runs with the race detector; owner, query, entry and router pass twice.

--- a/owner/choose.go
+++ b/owner/choose.go
@@ -110,10 +110,15 @@
 	return best
 }
 
-// better returns the one of a and b with the lesser load for its limit, then
-// the lesser latency. A may be nil.
+// better returns the one of a and b that costs less; of two that cost the same,
+// the one that was tried less lately, so that none is left out for good. A may
+// be nil.
 func better(a, b *replica, best time.Duration, now time.Time) *replica {
-	if a == nil || cost(b, best, now) < cost(a, best, now) {
+	if a == nil {
+		return b
+	}
+	costA, costB := cost(a, best, now), cost(b, best, now)
+	if costB < costA || (costB == costA && b.sampledAt.Before(a.sampledAt)) {
 		return b
 	}
 	return a
--- a/owner/choose_test.go
+++ b/owner/choose_test.go
@@ -142,3 +142,21 @@
 		t.Errorf("limit %d", r.ramp.Limit())
 	}
 }
+
+// TestEqualTargetsAreTriedInTurn has no load at all, so that only ties decide.
+// Whatever the order in which the owner holds its targets, each gets a part.
+func TestEqualTargetsAreTriedInTurn(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, pair, faketarget.Steady(service, 2))
+			for range 40 {
+				f.ask("r1", "g/000", 400*time.Millisecond)
+			}
+			for _, id := range []topology.TargetID{"g/000-0", "g/000-1"} {
+				if n := f.startedAt(id); n < 10 {
+					t.Fatalf("%s got %d of 40 searches", id, n)
+				}
+			}
+		})
+	}
+}
