Write a line for each decision of troubled and sampled requests

Cause: a failed request could be explained only by its last line. Change: a request collects its decisions (target chosen and on what, attempt ended, extra arrival denied, no usable target) and has all of its lines or none: troubled ones up to 30 a second, of the others one in 128; what is left out is counted.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -60,8 +60,13 @@
 	gone bool
 }
 
-// sending is one attempt at a backend while it is out.
-type sending struct{ b *backend }
+// sending is one attempt at a backend while it is out, with what it was chosen
+// on.
+type sending struct {
+	b    *backend
+	seen candidate
+	cost time.Duration
+}
 
 func newBackend(t *discovery.Target, pool *connpool.Pool) *backend {
 	return &backend{target: t, pool: pool, out: make(map[*sending]time.Time), slowness: 1, coldUntil: t.ColdUntil}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -137,6 +137,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *backend
+	var seen candidate
 	var least time.Duration
 	for _, b := range f.byService[s] {
 		if !f.usable(b, now) || b.full(now) || contains(tried, b) {
@@ -146,13 +147,13 @@
 		at := cost(&c, median)
 		at += time.Duration(rand.Float64() * tieShare * float64(median))
 		if best == nil || at < least {
-			best, least = b, at
+			best, seen, least = b, c, at
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	x := &sending{b: best}
+	x := &sending{b: best, seen: seen, cost: least}
 	best.out[x] = now
 	return x
 }
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -64,16 +64,15 @@
 }
 
 func (s *Server) logRefusal(r *http.Request, q *request, f *refusal) {
-	attrs := []any{
-		"request", r.Header.Get(s.cfg.Dialect.RequestID), "status", f.status, "reason", string(f.reason),
-		"retry_after", f.retryAfter, "error", f.cause,
+	s.cfg.Metrics.Refused(string(f.reason))
+	if q == nil {
+		q = &request{id: r.Header.Get(s.cfg.Dialect.RequestID), received: time.Now()}
 	}
-	if q != nil {
-		attrs = append(attrs, "after", time.Since(q.received), "table", q.table.Version)
-		if q.route != nil {
-			attrs = append(attrs, "route", string(q.route.Name))
-		}
+	decisions := q.trail.close()
+	if !s.lines.wanted(q.id, true) {
+		return
 	}
-	s.cfg.Log.Warn("request refused", attrs...)
-	s.cfg.Metrics.Refused(string(f.reason))
+	s.lines.write(q, decisions)
+	s.cfg.Log.Warn(lineRefused, append(s.basis(q), "status", f.status, "reason", string(f.reason),
+		"retry_after", f.retryAfter, "error", f.cause, "lacking", f.lacking, "after", time.Since(q.received))...)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -30,6 +30,7 @@
 	allowance time.Duration
 	route     *route.Route
 	table     *route.Table
+	trail     trail
 }
 
 // hopHeaders concern one connection only.
--- a/forward/server.go
+++ b/forward/server.go
@@ -40,6 +40,7 @@
 	budget  *budget
 	typical *typical
 	checker *checker
+	lines   *lineWriter
 	table   atomic.Pointer[route.Table]
 	turns   sync.Map // of route.Name to *atomic.Uint64
 	active  atomic.Int64
@@ -51,7 +52,7 @@
 func New(c Config) *Server {
 	s := &Server{
 		cfg: c, fleet: newFleet(c.DataCentre, c.ListLag),
-		budget: newBudget(c.Budget), typical: newTypical(),
+		budget: newBudget(c.Budget), typical: newTypical(), lines: newLineWriter(c.Log),
 	}
 	s.checker = &checker{fleet: s.fleet, dialect: &s.cfg.Dialect, log: c.Log}
 	return s
--- a/forward/single.go
+++ b/forward/single.go
@@ -49,26 +49,34 @@
 	first := len(c.tried) == 0
 	x := c.s.fleet.choose(c.service, c.median, c.tried, now)
 	if x == nil {
+		c.q.trail.add(decision{line: lineNoTarget, at: now, service: c.service})
 		return false
 	}
 	if !first && !c.s.budget.take(c.service, c.s.fleet.routerCount(), why, now) {
 		c.s.fleet.abandon(x)
 		c.denied = true
+		c.q.trail.add(decision{line: lineDenied, at: now, service: c.service})
 		return false
 	}
 	if first {
 		c.begun = now
 	}
+	id := string(x.b.target.ID)
+	c.q.trail.add(decision{line: lineChosen, at: now, service: c.service, target: id, hedge: hedge, seen: x.seen, cost: x.cost})
 	c.tried = append(c.tried, x.b)
 	c.out++
 	a := &attempt{
-		dialect: &c.s.cfg.Dialect, pool: x.b.pool, target: string(x.b.target.ID),
+		dialect: &c.s.cfg.Dialect, pool: x.b.pool, target: id,
 		request: c.q, until: c.q.deadline,
 	}
 	go func() {
 		out := a.run(ctx)
 		now := time.Now()
 		c.s.fleet.done(x, &out, c.median, now)
+		kept := out
+		kept.Header, kept.Body = nil, nil
+		c.q.trail.add(decision{line: lineEnded, at: now, service: c.service, target: id, hedge: hedge, outcome: kept})
+		c.s.cfg.Metrics.Attempt(string(c.service), out.Verdict.String(), out.Service)
 		if out.Success() {
 			c.s.typical.add(c.q.route.Name, out.Service)
 		}
