--- a/cmd/peridotmux/main.go
+++ b/cmd/peridotmux/main.go
@@ -23,6 +23,7 @@
 	registerMembers(app, commands)
 	registerQuery(app, commands)
 	registerTrial(app, commands)
+	registerExplain(app, commands)
 	selected, err := app.Parse(os.Args[1:])
 	if err != nil {
 		app.Errorf("%s; --help lists the commands", err)
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -40,8 +40,9 @@
 	failing  float64
 	failAt   time.Time
 
-	// coldUntil is the later of what the list and health answers said.
-	coldUntil time.Time
+	// listCold and healthCold are when the target is warm by the list and by its own
+	// health answers. The list is behind, so it doesn't overrule the latter.
+	listCold, healthCold time.Time
 	// doubted says that the target may have restarted: its health is asked for
 	// before it gets more work.
 	doubted bool
@@ -69,7 +70,7 @@
 }
 
 func newBackend(t *discovery.Target, pool *connpool.Pool) *backend {
-	return &backend{target: t, pool: pool, out: make(map[*sending]time.Time), slowness: 1, coldUntil: t.ColdUntil}
+	return &backend{target: t, pool: pool, out: make(map[*sending]time.Time), slowness: 1, listCold: t.ColdUntil}
 }
 
 // refresh takes a new list entry of the same target. It reports false if the
@@ -79,7 +80,7 @@
 		return false
 	}
 	b.target = t
-	b.coldUntil = laterCold(b.coldUntil, t.ColdUntil)
+	b.listCold = laterCold(b.listCold, t.ColdUntil)
 	return true
 }
 
@@ -92,7 +93,7 @@
 // or a later time: the earliest of them is the closest.
 func laterCold(known, listed time.Time) time.Time {
 	if listed.IsZero() {
-		return known
+		return listed
 	}
 	if known.IsZero() || listed.Before(known) || listed.Sub(known) > recold {
 		return listed
@@ -100,6 +101,14 @@
 	return known
 }
 
+// coldUntil returns when the target is warm.
+func (b *backend) coldUntil() time.Time {
+	if b.healthCold.After(b.listCold) {
+		return b.healthCold
+	}
+	return b.listCold
+}
+
 // full reports whether one more request would need a connection that the target
 // refuses.
 func (b *backend) full(now time.Time) bool {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -120,7 +120,7 @@
 
 // usable reports whether a target may get work now.
 func (f *fleet) usable(b *backend, now time.Time) bool {
-	if b.target.Draining || b.gone || b.doubted || b.coldUntil.After(now) {
+	if b.target.Draining || b.gone || b.doubted || b.coldUntil().After(now) {
 		return false
 	}
 	dc := b.target.DataCentre
@@ -233,7 +233,7 @@
 		if f.usable(b, now) {
 			return 0
 		}
-		left := b.coldUntil.Sub(now)
+		left := b.coldUntil().Sub(now)
 		if b.target.Draining || b.gone || b.doubted || left <= 0 {
 			continue
 		}
--- a/forward/health.go
+++ b/forward/health.go
@@ -91,9 +91,7 @@
 		b.gone = true
 		return
 	}
-	if h.coldUntil.After(b.coldUntil) {
-		b.coldUntil = h.coldUntil
-	}
+	b.healthCold = h.coldUntil
 	if h.busy && h.id == "" {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -39,6 +40,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long a caller's connection may be idle.
 	idleTimeout = 60 * time.Second
+	// pathStatus is where people read what the gateway believes.
+	pathStatus = "/status"
 	// bitsPerMegabit turns a link's rate into bits.
 	bitsPerMegabit = 1e6
 	// maxHeaderBytes bounds a request's headers.
@@ -191,9 +194,19 @@
 func (g *Gateway) pages() http.Handler {
 	m := http.NewServeMux()
 	m.Handle(api.PathMetrics, g.metrics.Handler())
+	m.HandleFunc(pathStatus, g.status)
 	return m
 }
 
+// status tells people what the gateway believes now.
+func (g *Gateway) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = fmt.Fprintf(w, "vm: %s, ready: %v, leaving: %v\n", g.cfg.Settings.VM.Name, g.server.Ready(), g.leaving.Load())
+	_, _ = fmt.Fprintf(w, "control: members %v, records up to %d, lease until %v\n",
+		g.known(), g.board.View().Index, time.Until(g.lease.End()).Round(time.Millisecond))
+	g.server.WriteStatus(w)
+}
+
 func (g *Gateway) follow(ctx context.Context) {
 	router.Follow(ctx, router.Following{
 		VM: g.cfg.Settings.VM, Incarnation: rand.Uint64(), Members: g.known, Board: g.board, Lease: g.lease,
--- a/settings/check.go
+++ b/settings/check.go
@@ -11,7 +11,14 @@
 		case sectionRouter:
 			_, err := LoadRouter(path)
 			return err
+		case sectionGateway:
+			_, err := LoadGateway(path)
+			return err
 		case sectionControl:
+			if d.maybe(sectionList).line > 0 {
+				_, err := LoadFormedControl(path)
+				return err
+			}
 			_, err := LoadControl(path)
 			return err
 		}
@@ -19,6 +26,6 @@
 	if len(d.faults) > 0 {
 		return d.result()
 	}
-	d.faults = append(d.faults, Fault{File: path, Expected: "a section [deployment], [router] or [control]"})
+	d.faults = append(d.faults, Fault{File: path, Expected: "a section [deployment], [router], [gateway] or [control]"})
 	return d.result()
 }
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const gatewayFile = `[gateway]
+vm = gateway-1
+data_centre = dc-a
+http = 127.0.0.1:8001
+rpc = 127.0.0.1:8002
+readiness = 127.0.0.1:8003
+pages = 127.0.0.1:8004
+control = 127.0.0.2:9000,127.0.0.3:9000
+control_rpc_port = 9001
+grace = 6s
+memory_mb = 284
+link_mbps = 20.0
+
+[extra arrivals]
+ratio = 0.2
+slack = 52
+window = 10s
+
+[target list]
+address = 127.0.0.9:80
+lag = 800ms
+rate = 40.0
+drain_time = 3000ms
+`
+
+const formedFile = `[control]
+vm = control-1
+data_centre = dc-a
+region = r
+http = 127.0.0.2:9000
+rpc = 127.0.0.2:9001
+pages = 127.0.0.2:9002
+control = 127.0.0.2:9000,127.0.0.3:9000
+control_rpc_port = 9001
+first_start = true
+data_folder = .
+answer_time = 5000ms
+memory_mb = 280
+
+[target list]
+address = 127.0.0.9:80
+lag = 800ms
+rate = 40.0
+drain_time = 3000ms
+`
+
+func fileOf(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "s.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestGatewayFile(t *testing.T) {
+	g, err := LoadGateway(fileOf(t, gatewayFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(g.Control) != 2 || g.Control[0].String() != "127.0.0.2:9001" || g.Budget.Window != 10*time.Second || g.List.Lag != 800*time.Millisecond || g.LinkMbps != 20 {
+		t.Fatalf("%+v", g)
+	}
+	if err := Check(fileOf(t, gatewayFile)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestFormedControlFile(t *testing.T) {
+	c, err := LoadFormedControl(fileOf(t, formedFile))
+	if err != nil || !c.First || len(c.Seeds) != 2 || c.AnswerTime != 5*time.Second {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	if err := Check(fileOf(t, formedFile)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Each fault names the file, the section and the key.
+func TestFaultsOfGatewayAndFormedControl(t *testing.T) {
+	for _, c := range []struct{ file, old, new, key string }{
+		{gatewayFile, "grace = 6s", "grace = soon", "grace"},
+		{gatewayFile, "ratio = 0.2", "ratio = 2", "ratio"},
+		{gatewayFile, "control_rpc_port = 9001", "control_rpc_port = 70000", "control_rpc_port"},
+		{gatewayFile, "link_mbps = 20.0", "", "link_mbps"},
+		{gatewayFile, "lag = 800ms", "lag = 800ms\nodd = 1", "odd"},
+		{formedFile, "first_start = true", "first_start = perhaps", "first_start"},
+		{formedFile, "data_folder = .", "data_folder = nowhere", "data_folder"},
+		{formedFile, "control = 127.0.0.2:9000", "control = here", "control"},
+	} {
+		err := Check(fileOf(t, strings.Replace(c.file, c.old, c.new, 1)))
+		var faults Faults
+		if !errors.As(err, &faults) || faults[0].Key != c.key || faults[0].File == "" {
+			t.Errorf("%s: %v", c.key, err)
+		}
+	}
+}
