Soak the built programs by a seed

Cause: nothing harmed the real programs in series and overlapping. Change: peridotmux-soak starts three members and three gateways on loopback with stand-in targets, list, operator and callers; it kills, freezes, stops, hangs up, wipes disks, and delays, silences, cuts one way, refuses and resets links through proxies, and checks at-most-once, true refusals, whole answers, gathers, reads never older than acknowledged, quiet data centres, no process that ends by itself, and service after the last harm.

--- /dev/null
+++ b/cmd/peridotmux-soak/main.go
@@ -0,0 +1,57 @@
+// Command peridotmux-soak runs the built programs on loopback and harms them by
+// a seed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/peridotmux/peridotmux/internal/soak"
+)
+
+const (
+	exitFailed = 1
+	exitBroken = 3
+)
+
+func main() {
+	app := kingpin.New("peridotmux-soak", "Harms the built programs by a seed and checks their promises.")
+	seed := app.Flag("seed", "What the harms are drawn from.").Required().Uint64()
+	minutes := app.Flag("minutes", "How long to harm.").Default("1").Float64()
+	bin := app.Flag("bin", "Folder of the built programs.").Default("target/bin").ExistingDir()
+	keep := app.Flag("logs", "Folder for logs; a temporary one, removed if all is well, if not set.").String()
+	plant := app.Flag("plant", "Break a promise on purpose: twice, late or lost.").Enum("", "twice", "late", "lost")
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	dir := *keep
+	if dir == "" {
+		made, err := os.MkdirTemp("", "peridotmux-soak-")
+		app.FatalIfError(err, "no folder")
+		dir = made
+	}
+	path, err := filepath.Abs(*bin)
+	app.FatalIfError(err, "bin")
+	r, err := soak.Run(context.Background(), soak.Config{
+		Seed: *seed, For: time.Duration(*minutes * float64(time.Minute)), Bin: path, Dir: dir, Out: os.Stdout, Plant: *plant,
+	})
+	if err != nil {
+		app.Errorf("%s", err)
+		os.Exit(exitFailed)
+	}
+	fmt.Printf("seed %d: %d harms, %d asked, %d served, %d refused, %d failed, %d promises broken\n",
+		*seed, r.Harms, r.Asked, r.Served, r.Refused, r.Failed, len(r.Faults))
+	if len(r.Faults) > 0 {
+		for _, f := range r.Faults {
+			fmt.Println("BROKEN", f)
+		}
+		fmt.Println("logs:", dir)
+		os.Exit(exitBroken)
+	}
+	if *keep == "" {
+		_ = os.RemoveAll(dir) // A folder that stays does no harm.
+	}
+}
--- a/control/daemon/formed.go
+++ b/control/daemon/formed.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	rpcListener, err := listen(s.VM.RPC.String())
+	rpcListener, err := listen(s.RPCListen.String())
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -123,8 +123,11 @@
 
 // FormedControl holds the settings of a control member whose group forms itself.
 type FormedControl struct {
-	VM     topology.VM
-	Region topology.Region
+	VM topology.VM
+	// RPCListen is where the member listens if others reach it at VM.RPC over
+	// something in between; VM.RPC otherwise.
+	RPCListen netip.AddrPort
+	Region    topology.Region
 	// Seeds lists the rpc addresses of the first members, or of some members.
 	Seeds []netip.AddrPort
 	// First says that the whole system starts for the first time.
@@ -161,6 +164,7 @@
 		Log:        readLog(d),
 		Bounds:     readBounds(d),
 	}
+	c.RPCListen = optional(s, "rpc_listen", addrValue, c.VM.RPC)
 	d.checkSections("[control], [target list], [log], [log levels] or [bounds]", func(name string) bool {
 		return name == sectionControl || name == sectionList || isCommon(name)
 	})
