Don't take a target with too many connections for one that restarted

Change: a reset while connecting is a connection too many; connections end after 0.3 s idle where the targets that are left can't take one of every gateway; a target that can't be reached is asked again after 6 s with 84 gateways, not 11.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
@@ -119,7 +120,11 @@
 	if err != nil {
 		var limit *connpool.ConnectionLimitError
 		full := errors.As(err, &limit)
-		return Outcome{Verdict: NotRun, Refused: !full && ctx.Err() == nil, Cause: err, Service: time.Since(begun)}
+		crowded := errors.Is(err, syscall.ECONNRESET)
+		return Outcome{
+			Verdict: NotRun, Refused: !full && !crowded && ctx.Err() == nil, OverLimit: crowded,
+			Cancelled: errors.Is(ctx.Err(), context.Canceled), Cause: err, Service: time.Since(begun),
+		}
 	}
 	out := a.exchange(ctx, c)
 	out.Service = time.Since(begun)
@@ -134,7 +139,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Net.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	out, reusable := a.trade(c)
-	if out.Verdict == Unknown {
+	if out.Cause != nil {
 		out.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 		out.Silent = !out.Cancelled && isTimeout(out.Cause)
 		out.Broken = out.Broken && !out.Cancelled && !out.Silent
@@ -159,7 +164,7 @@
 	written := make(chan error, 1)
 	sent, err := a.send(c, written)
 	if err != nil && sent == 0 {
-		return Outcome{Verdict: NotRun, Cause: err}, false
+		return Outcome{Verdict: NotRun, Broken: true, Cause: err}, false
 	}
 	if err != nil {
 		return Outcome{Verdict: Unknown, Broken: true, Cause: err}, false
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -25,12 +25,18 @@
 	// leastConnections is what a router may open to a target in any case.
 	leastConnections = 2
 	// lastIdleTime is how long the only connection to a target may be idle where
-	// connections are scarce.
-	lastIdleTime = 6 * time.Second
+	// connections are scarce, and shortIdleTime where they are short: where the
+	// targets that are left can't take a connection of every router.
+	lastIdleTime  = 6 * time.Second
+	shortIdleTime = 300 * time.Millisecond
+	// shortShare is the part of a service's connections above which they are short.
+	shortShare = 0.5
 	// idleTime is how long more than one connection to a target may be idle. After
 	// a power loss a target counts the connections of before for a while, so
 	// routers keep few.
 	idleTime = time.Second
+	// trimInterval is the time between two looks at idle connections.
+	trimInterval = 250 * time.Millisecond
 	// tieShare blurs equal costs, so that routers don't all choose the same target.
 	tieShare = 0.05
 )
@@ -179,15 +185,36 @@
 func (f *fleet) trim(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, b := range f.byID {
-		last := time.Time{}
-		if b.scarce {
-			last = now.Add(-lastIdleTime)
+	for name, backends := range f.byService {
+		last := f.lastIdle(name, backends, now)
+		for _, b := range backends {
+			limit := time.Time{}
+			if b.scarce {
+				limit = now.Add(-last)
+			}
+			b.pool.Trim(now.Add(-idleTime), limit)
 		}
-		b.pool.Trim(now.Add(-idleTime), last)
 	}
 }
 
+// lastIdle returns how long the only connection to a target of a service may be
+// idle.
+func (f *fleet) lastIdle(name route.ServiceName, backends []*backend, now time.Time) time.Duration {
+	if f.table == nil {
+		return lastIdleTime
+	}
+	usable := 0
+	for _, b := range backends {
+		if f.usable(b, now) {
+			usable++
+		}
+	}
+	if shortShare*float64(f.table.Services[name].MaxConnections*usable) < float64(f.routers) {
+		return shortIdleTime
+	}
+	return lastIdleTime
+}
+
 // available counts the services that have a usable target.
 func (f *fleet) available(services []route.ServiceName, now time.Time) int {
 	f.mu.Lock()
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -211,3 +211,52 @@
 		t.Fatalf("%d connections for 50 requests in a row", conns)
 	}
 }
+
+// A target that resets connections beyond its limit, at once or while one is
+// made, hasn't restarted: it is used again soon and over what is open.
+func TestTargetWithTooManyConnectionsIsNotDoubted(t *testing.T) {
+	s := newStandin(t, "t1", "one")
+	s.answer = func(c net.Conn, r *http.Request, _ []byte, n int) {
+		if n == 1 {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			return
+		}
+		s.ok(c, r, "ok")
+	}
+	f := newFront(t, testTable(), s.entry())
+	if got := f.get("/one/x"); got.status == http.StatusOK {
+		t.Fatal("answered over a reset connection")
+	}
+	b := f.fleet.byID["t1"]
+	if b.doubted || !b.full(time.Now()) {
+		t.Fatalf("doubted %v, full %v", b.doubted, b.full(time.Now()))
+	}
+	if b.full(time.Now().Add(crowdedTime)) {
+		t.Fatal("still full later")
+	}
+	reset := Outcome{Verdict: NotRun, OverLimit: true}
+	b.learn(&reset, time.Millisecond, time.Now())
+	if b.doubted {
+		t.Fatal("doubted after a connection that was reset while it was made")
+	}
+}
+
+// Where the targets that are left can't take a connection of every router, idle
+// ones end at once.
+func TestIdleConnectionsEndWhereTheyAreShort(t *testing.T) {
+	a, b := newStandin(t, "t1", "one"), newStandin(t, "t2", "one")
+	drained := b.entry()
+	f := newFront(t, testTable(), a.entry(), b.entry())
+	f.fleet.routers = 30
+	backends := f.fleet.byService["one"]
+	if got := f.fleet.lastIdle("one", backends, time.Now()); got != lastIdleTime {
+		t.Fatalf("%v with two targets of 40 connections for 30 routers", got)
+	}
+	drained.Draining = true
+	f.setTargets(a.entry(), drained)
+	f.fleet.routers = 30
+	if got := f.fleet.lastIdle("one", f.fleet.byService["one"], time.Now()); got != shortIdleTime {
+		t.Fatalf("%v with one target of 40 connections for 30 routers", got)
+	}
+}
--- a/forward/health.go
+++ b/forward/health.go
@@ -102,7 +102,7 @@
 
 // routersPerCheck is the number of routers that may ask one target that is away
 // in the same second.
-const routersPerCheck = 8
+const routersPerCheck = 16
 
 func (k *checker) ask(ctx context.Context, b *backend) health {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
--- a/forward/server.go
+++ b/forward/server.go
@@ -91,7 +91,7 @@
 }
 
 func (s *Server) trimLoop(ctx context.Context) {
-	tick := time.NewTicker(idleTime)
+	tick := time.NewTicker(trimInterval)
 	defer tick.Stop()
 	for {
 		select {
