--- a/cmd/peridotmux-gateway-control/main.go
+++ b/cmd/peridotmux-gateway-control/main.go
@@ -33,6 +33,7 @@
 		app.Errorf("%s", err)
 		os.Exit(exitFailed)
 	}
+	telemetry.LimitMemory(cfg.MemoryMB)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	log := telemetry.NewLogs(out, cfg.Log).Part(settings.PartControl)
 	current := settings.Watch(cfg, func() (*settings.FormedControl, error) { return settings.LoadFormedControl(*path) }, *path, log)
--- a/cmd/peridotmux-gateway/main.go
+++ b/cmd/peridotmux-gateway/main.go
@@ -30,6 +30,7 @@
 		app.Errorf("%s", err)
 		os.Exit(exitFailed)
 	}
+	telemetry.LimitMemory(cfg.MemoryMB)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	log := telemetry.NewLogs(out, cfg.Log).Part(settings.PartRouter)
 	current := settings.Watch(cfg, func() (*settings.Gateway, error) { return settings.LoadGateway(*path) }, *path, log)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -29,10 +29,6 @@
 	w      *world
 	counts callerCounts
 	next   atomic.Uint64
-
-	mu sync.Mutex
-	// calm tells since when nothing harms a gateway; zero while something does.
-	calm [gateways]time.Time
 }
 
 func (l *load) run(ctx context.Context) {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -45,7 +45,7 @@
 // change sends a new version until it is acknowledged or ctx ends.
 func (o *operator) change(ctx context.Context) bool {
 	o.mu.Lock()
-	o.version += 1 + uint64(o.version%3)
+	o.version += 1 + o.version%3
 	version := o.version
 	body := document(version)
 	o.sent[version] = body
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -127,9 +126,6 @@
 				return
 			}
 		}
-		if err == io.EOF {
-			return
-		}
 		if err != nil {
 			return
 		}
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -39,7 +39,6 @@
 	mu       sync.Mutex
 	mode     targetMode
 	draining bool
-	served   int
 }
 
 // ledger holds what targets saw.
@@ -163,17 +162,9 @@
 	targets []*standTarget
 }
 
-// lagTime is how far the list is behind.
+// lagTime is how far the list is said to be behind.
 const lagTime = 300 * time.Millisecond
 
-func (l *list) set(targets []*standTarget) {
-	time.AfterFunc(lagTime, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.targets = targets
-	})
-}
-
 // ServeHTTP gives a page of the list.
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	const pageSize = 5
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -130,12 +130,10 @@
 http = %s:%d
 rpc = %s:%d
 rpc_listen = %s:%d
-pages = %s:%d
 control = %s
 control_rpc_port = %d
 first_start = %v
 data_folder = %s
-answer_time = 5s
 memory_mb = 280
 `
 
@@ -159,13 +157,13 @@
 `
 
 func (w *world) listSection() string {
-	return fmt.Sprintf("\n[target list]\naddress = %s:8229\nlag = %s\nrate = 50\ndrain_time = %s\n", w.cfg.listIP(), lagTime, drainTime)
+	return fmt.Sprintf("\n[target list]\naddress = %s:8229\nlag = %s\ndrain_time = %s\n", w.cfg.listIP(), lagTime, drainTime)
 }
 
 // controlSettings writes a member's settings.
 func (w *world) controlSettings(i int, first bool) error {
 	ip := w.cfg.controlIP(i)
-	text := fmt.Sprintf(controlFile, i, dcOf(i), ip, controlPort, ip, rpcPort, ip, rpcPort+1, ip, pagesPort,
+	text := fmt.Sprintf(controlFile, i, dcOf(i), ip, controlPort, ip, rpcPort, ip, rpcPort+1,
 		w.seeds(), rpcPort, first, w.dataDir(i)) + w.listSection()
 	return os.WriteFile(w.path("control", i, ".ini"), []byte(text), 0o600)
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -31,8 +31,6 @@
 	Addr netip.AddrPort
 	// Lag is how far the list may be behind.
 	Lag time.Duration
-	// Rate is the number of calls a second that the list takes from all.
-	Rate float64
 	// DrainTime is how soon a draining target must get no new work.
 	DrainTime time.Duration
 }
@@ -116,7 +114,6 @@
 	return TargetList{
 		Addr:      required(s, "address", addrValue),
 		Lag:       required(s, "lag", durationValue(0, maxTimeout)),
-		Rate:      required(s, "rate", weightValue),
 		DrainTime: required(s, "drain_time", durationValue(time.Millisecond, maxTimeout)),
 	}
 }
@@ -133,14 +130,10 @@
 	// First says that the whole system starts for the first time.
 	First      bool
 	DataFolder string
-	// AnswerTime is how soon an operator's order must be answered.
-	AnswerTime time.Duration
-	// Pages is where metrics and status pages are.
-	Pages    netip.AddrPort
-	List     TargetList
-	MemoryMB int
-	Log      Log
-	Bounds   Bounds
+	List       TargetList
+	MemoryMB   int
+	Log        Log
+	Bounds     Bounds
 }
 
 // LoadFormedControl reads the file of a control member whose group forms itself.
@@ -156,8 +149,6 @@
 		Region:     required(s, "region", nameOf[topology.Region]()),
 		First:      required(s, "first_start", truthValue),
 		DataFolder: required(s, "data_folder", folderValue(path)),
-		AnswerTime: required(s, "answer_time", durationValue(time.Millisecond, maxTimeout)),
-		Pages:      required(s, "pages", addrValue),
 		MemoryMB:   required(s, "memory_mb", countValue(maxMemoryMB)),
 		Seeds:      readSeeds(s),
 		List:       readTargetList(d),
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -30,7 +30,6 @@
 [target list]
 address = 127.0.0.9:80
 lag = 800ms
-rate = 40.0
 drain_time = 3000ms
 `
 
@@ -40,18 +39,15 @@
 region = r
 http = 127.0.0.2:9000
 rpc = 127.0.0.2:9001
-pages = 127.0.0.2:9002
 control = 127.0.0.2:9000,127.0.0.3:9000
 control_rpc_port = 9001
 first_start = true
 data_folder = .
-answer_time = 5000ms
 memory_mb = 280
 
 [target list]
 address = 127.0.0.9:80
 lag = 800ms
-rate = 40.0
 drain_time = 3000ms
 `
 
@@ -79,7 +75,7 @@
 
 func TestFormedControlFile(t *testing.T) {
 	c, err := LoadFormedControl(fileOf(t, formedFile))
-	if err != nil || !c.First || len(c.Seeds) != 2 || c.AnswerTime != 5*time.Second {
+	if err != nil || !c.First || len(c.Seeds) != 2 {
 		t.Fatalf("%+v, %v", c, err)
 	}
 	if err := Check(fileOf(t, formedFile)); err != nil {
