Accept fractional, large, zero and missing bounds in the settings

Cause: the settings demanded a whole number for the slack of extra arrivals, at least one second for the window and the grace time, and a value for every bound. A deployment whose bounds are fractions (such as 32.73) ended every gateway with code 1 at its start.

Ruled out: rounding in the templates, which can't compute.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,7 +128,7 @@
 		Inventory:  g.inventory,
 		Decode:     c.Decode,
 		Budget: forward.BudgetLimits{
-			Ratio: c.Settings.Budget.Ratio, Slack: float64(c.Settings.Budget.Slack), Window: c.Settings.Budget.Window,
+			Ratio: c.Settings.Budget.Ratio, Slack: c.Settings.Budget.Slack, Window: c.Settings.Budget.Window,
 		},
 		ListLag:           c.Settings.TargetList.Lag,
 		LinkBitsPerSecond: c.Settings.LinkMbps * bitsPerMegabit,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -15,16 +15,28 @@
 
 	// maxPort is the highest port number.
 	maxPort = 1<<16 - 1
+	// maxPlatformTime bounds the times that the platform states.
+	maxPlatformTime = 30 * 24 * time.Hour
+	// defaultGrace, defaultListLag and defaultDrainTime apply if the platform states
+	// none.
+	defaultGrace     = 6 * time.Second
+	defaultListLag   = time.Second
+	defaultDrainTime = 3 * time.Second
 )
 
+// defaultBudget applies if the platform states no limits of its own. It is strict,
+// since retries that no one limits can overload a service.
+var defaultBudget = Budget{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}
+
 // Budget limits the extra arrivals at a service (retries and hedges), summed over
 // all gateways.
 type Budget struct {
 	// Ratio is the allowed fraction of extra arrivals among the requests of a
 	// window.
 	Ratio float64
-	// Slack is the number of extra arrivals that a window may have in addition.
-	Slack  int
+	// Slack is the number of extra arrivals that a window may have in addition. It
+	// may be fractional.
+	Slack  float64
 	Window time.Duration
 }
 
@@ -71,8 +83,8 @@
 		VM:         readVM(s),
 		Readiness:  required(s, "readiness", addrValue),
 		Pages:      required(s, "pages", addrValue),
-		Grace:      required(s, "grace", durationValue(time.Second, maxTimeout)),
-		MemoryMB:   required(s, "memory_mb", countValue(maxMemoryMB)),
+		Grace:      optional(s, "grace", durationValue(0, maxPlatformTime), defaultGrace),
+		MemoryMB:   required(s, "memory_mb", roundedDownValue(maxMemoryMB)),
 		LinkMbps:   required(s, "link_mbps", weightValue),
 		Control:    readSeeds(s),
 		Budget:     readBudget(d),
@@ -107,9 +119,9 @@
 func readBudget(d *document) Budget {
 	s := d.requiredSection(sectionBudget)
 	return Budget{
-		Ratio:  required(s, "ratio", shareValue),
-		Slack:  required(s, "slack", countValue(maxInFlight)),
-		Window: required(s, "window", durationValue(time.Second, maxTimeout)),
+		Ratio:  optional(s, "ratio", amountValue, defaultBudget.Ratio),
+		Slack:  optional(s, "slack", amountValue, defaultBudget.Slack),
+		Window: optional(s, "window", durationValue(time.Millisecond, maxPlatformTime), defaultBudget.Window),
 	}
 }
 
@@ -117,8 +129,8 @@
 	s := d.requiredSection(sectionList)
 	return TargetList{
 		Addr:      required(s, "address", addrValue),
-		Lag:       required(s, "lag", durationValue(0, maxTimeout)),
-		DrainTime: required(s, "drain_time", durationValue(time.Millisecond, maxTimeout)),
+		Lag:       optional(s, "lag", durationValue(0, maxPlatformTime), defaultListLag),
+		DrainTime: optional(s, "drain_time", durationValue(0, maxPlatformTime), defaultDrainTime),
 	}
 }
 
@@ -155,7 +167,7 @@
 		Region:     required(s, "region", nameOf[topology.Region]()),
 		FirstStart: required(s, "first_start", templateBoolValue),
 		DataFolder: required(s, "data_folder", folderValue(path)),
-		MemoryMB:   required(s, "memory_mb", countValue(maxMemoryMB)),
+		MemoryMB:   required(s, "memory_mb", roundedDownValue(maxMemoryMB)),
 		Seeds:      readSeeds(s),
 		TargetList: readTargetList(d),
 		Log:        readLog(d),
--- a/settings/value.go
+++ b/settings/value.go
@@ -60,6 +60,25 @@
 	},
 }
 
+var amountValue = value[float64]{
+	expected: "a number from 0, such as 0.2 or 32.75",
+	parse: func(s string) (float64, bool) {
+		f, err := strconv.ParseFloat(s, 64)
+		return f, err == nil && f >= 0 && !math.IsInf(f, 1)
+	},
+}
+
+// roundedDownValue is a number that is rounded down to a whole one.
+func roundedDownValue(most int) value[int] {
+	return value[int]{
+		expected: "a number from 1 to " + itoa(most),
+		parse: func(s string) (int, bool) {
+			f, err := strconv.ParseFloat(s, 64)
+			return int(f), err == nil && f >= 1 && f <= float64(most)
+		},
+	}
+}
+
 func countValue(most int) value[int] {
 	return value[int]{
 		expected: "a whole number from 1 to " + itoa(most),
