Check the health of a target as soon as its owner may use it

Ruled out: a check at each interval's fraction, which only shortens the gap.

Change: a target that becomes active triggers a check of the targets whose versions are unknown.

TestVersionsOfNewTargetsAreKnownAtOnce fails without the trigger.

--- a/owner/healthcheck.go
+++ b/owner/healthcheck.go
@@ -15,27 +15,40 @@
 	healthTimeout = 400 * time.Millisecond
 )
 
-// healthLoop fetches the health pages of the owned targets until ctx ends.
+// healthLoop fetches the health pages of the owned targets until ctx ends: all
+// of them at each interval, and new ones as soon as they become active, since no
+// search can be planned until a target's index versions are known.
 func (o *Owner) healthLoop(ctx context.Context) {
 	tick := time.NewTicker(healthInterval)
 	defer tick.Stop()
 	for {
-		o.checkHealth(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			o.checkHealth(ctx, func(*replica) bool { return true })
+		case <-o.newlyActive:
+			o.checkHealth(ctx, func(r *replica) bool { return len(r.versions) == 0 })
 		}
 	}
 }
 
-// checkHealth fetches the health pages of all active targets concurrently.
-// Errors are ignored.
-func (o *Owner) checkHealth(ctx context.Context) {
+// requestHealthCheck makes healthLoop check the targets whose index versions are
+// unknown.
+func (o *Owner) requestHealthCheck() {
+	select {
+	case o.newlyActive <- struct{}{}:
+	default:
+	}
+}
+
+// checkHealth concurrently fetches the health pages of the active targets that
+// satisfy due. Errors are ignored.
+func (o *Owner) checkHealth(ctx context.Context, due func(*replica) bool) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, h := range o.activeTargets() {
+	for _, h := range o.activeTargets(due) {
 		wg.Go(func() {
 			page, err := o.cfg.Searcher.Health(ctx, h.replica.target)
 			if err == nil {
@@ -46,14 +59,14 @@
 	wg.Wait()
 }
 
-// activeTargets returns the held targets that are active.
-func (o *Owner) activeTargets() []*heldTarget {
+// activeTargets returns the held targets that are active and satisfy due.
+func (o *Owner) activeTargets(due func(*replica) bool) []*heldTarget {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []*heldTarget
 	for _, h := range o.held {
 		h.shard.mu.Lock()
-		if h.replica.state == stateActive {
+		if h.replica.state == stateActive && due(h.replica) {
 			out = append(out, h)
 		}
 		h.shard.mu.Unlock()
--- a/owner/healthcheck_test.go
+++ b/owner/healthcheck_test.go
@@ -37,3 +37,21 @@
 		}
 	})
 }
+
+// The index versions of targets that were assigned after the owner's start must be
+// known within a few milliseconds, not only after the next health interval: until
+// then every query is refused for want of a common version.
+func TestVersionsOfNewTargetsAreKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shape := pairShape
+		shape.Owners = []topology.VMName{"r1", "r2"}
+		f := newFixture(t, shape, faketarget.Steady(service, 2))
+		time.Sleep(healthInterval / 5)
+		f.assign("r2", 50)
+		time.Sleep(healthInterval / 5)
+		r := f.routers["r2"].owner.Do(t.Context(), &pb.SubRequest{Shard: "g/000"})
+		if len(r.GetVersions()) == 0 {
+			t.Fatalf("no index versions known: %v", r)
+		}
+	})
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -54,6 +54,8 @@
 	held map[topology.TargetID]*heldTarget
 	// appliedIndex is the board index that was last applied.
 	appliedIndex uint64
+	// newlyActive signals that targets became active.
+	newlyActive chan struct{}
 }
 
 // New returns an Owner without targets. Run acquires the targets that are
@@ -62,7 +64,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	o := &Owner{cfg: cfg, held: make(map[topology.TargetID]*heldTarget)}
+	o := &Owner{cfg: cfg, held: make(map[topology.TargetID]*heldTarget), newlyActive: make(chan struct{}, 1)}
 	o.shards.Store(&map[topology.ShardID]*shard{})
 	return o
 }
--- a/owner/ownership.go
+++ b/owner/ownership.go
@@ -101,6 +101,7 @@
 	s.mu.Lock()
 	s.replicas = append(s.replicas, r)
 	s.mu.Unlock()
+	o.requestHealthCheck()
 	o.logAcquired(r, a)
 }
 
@@ -231,5 +232,6 @@
 	}
 	o.cfg.Log.Info("target activated", "target", r.id(), "epoch", r.epoch, "released", handover != nil,
 		"limit", r.ramp.Limit())
+	o.requestHealthCheck()
 	h.shard.dispatchLocked(time.Now())
 }
