Apply a watched list's changes to that list, not to the process's own

Ruled out: the tests' bounds. A whole list at each update would hide it at the cost of bytes that grow with the number of targets.

Change: the watch keeps the watched process's list and applies differences to it; the inventory takes the result if it is newer than its own.

The property over pairs of lists now includes an own read between two updates, and fails without the change.

--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -176,13 +176,19 @@
 			source, watcher := NewInventory(), NewInventory()
 			source.Replace(from, now)
 			first := source.List()
-			if err := applyUpdate(watcher, newUpdate(&List{}, first, now), now); err != nil {
+			watched, err := applyUpdate(&List{}, newUpdate(&List{}, first, now), now)
+			if err != nil {
 				t.Fatal(err)
 			}
+			watcher.Store(watched)
+			// The watcher's own read must not become the base of the next update.
+			watcher.Replace([]Target{target(9)}, now)
 			source.Replace(to, now)
-			if err := applyUpdate(watcher, newUpdate(first, source.List(), now), now.Add(time.Millisecond)); err != nil {
+			watched, err = applyUpdate(watched, newUpdate(first, source.List(), now), now.Add(time.Millisecond))
+			if err != nil {
 				t.Fatal(err)
 			}
+			watcher.Store(watched)
 			n := &node{inventory: watcher}
 			if !n.has(to...) {
 				t.Errorf("from list %d to %d: %v targets", i, j, reflect.ValueOf(watcher.List().Targets).Len())
--- a/discovery/inventory.go
+++ b/discovery/inventory.go
@@ -5,6 +5,7 @@
 package discovery
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -85,38 +86,40 @@
 	return v.changed
 }
 
-// Replace stores a list that was requested at requestedAt. It returns false and
-// drops the list if the current one was requested later. It keeps pointers into
+// newList returns a list that was requested at requestedAt. It keeps pointers into
 // targets, which must not be modified afterwards.
-func (v *Inventory) Replace(targets []Target, requestedAt time.Time) bool {
-	next := &List{Targets: make(map[TargetID]*Target, len(targets)), RequestedAt: requestedAt}
+func newList(targets []Target, requestedAt time.Time) *List {
+	l := &List{Targets: make(map[TargetID]*Target, len(targets)), RequestedAt: requestedAt}
 	for i := range targets {
-		next.Targets[targets[i].ID] = &targets[i]
+		l.Targets[targets[i].ID] = &targets[i]
 	}
-	return v.store(next)
+	return l
 }
 
-// ApplyDelta stores the current list with targets added or replaced and the
-// removed ids deleted, as of requestedAt. The result and the rules are those of
-// Replace.
-func (v *Inventory) ApplyDelta(targets []Target, removed []TargetID, requestedAt time.Time) bool {
-	old := v.List()
-	next := &List{Targets: make(map[TargetID]*Target, len(old.Targets)+len(targets)), RequestedAt: requestedAt}
-	for id, t := range old.Targets {
-		next.Targets[id] = t
-	}
+// withDelta returns the list with targets added or replaced and the removed ids
+// deleted, as of requestedAt. It keeps pointers into targets as newList does.
+func (l *List) withDelta(targets []Target, removed []TargetID, requestedAt time.Time) *List {
+	next := &List{Targets: make(map[TargetID]*Target, len(l.Targets)+len(targets)), RequestedAt: requestedAt}
+	maps.Copy(next.Targets, l.Targets)
 	for i := range targets {
 		next.Targets[targets[i].ID] = &targets[i]
 	}
 	for _, id := range removed {
 		delete(next.Targets, id)
 	}
-	return v.store(next)
+	return next
+}
+
+// Replace stores a list that was requested at requestedAt. It returns false and
+// drops the list if the current one was requested later. It keeps pointers into
+// targets, which must not be modified afterwards.
+func (v *Inventory) Replace(targets []Target, requestedAt time.Time) bool {
+	return v.Store(newList(targets, requestedAt))
 }
 
-// store makes next the current list unless the current one was requested later,
+// Store makes next the current list unless the current one was requested later,
 // and reports whether it did.
-func (v *Inventory) store(next *List) bool {
+func (v *Inventory) Store(next *List) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if next.RequestedAt.Before(v.list.Load().RequestedAt) {
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -145,7 +145,6 @@
 // times out, or the process should no longer be watched. It returns the address
 // of the process.
 func (s *Source) watch(ctx context.Context, addrs []netip.AddrPort) (netip.AddrPort, error) {
-	v := s.Inventory
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	conn, addr, err := rpc.DialFirst(ctx, addrs)
@@ -164,6 +163,7 @@
 	if err != nil {
 		return addr, &rpc.ConnectionLostError{Addr: addr.String(), Cause: err}
 	}
+	watched := &List{}
 	for {
 		u, err := stream.Recv()
 		if err != nil {
@@ -173,9 +173,14 @@
 			return addr, &rpc.ConnectionLostError{Addr: addr.String(), Cause: err}
 		}
 		silence.Reset(watchTimeout)
-		if err := applyUpdate(v, u, time.Now()); err != nil {
+		if u.GetHeartbeat() {
+			continue
+		}
+		watched, err = applyUpdate(watched, u, time.Now())
+		if err != nil {
 			return addr, err
 		}
+		s.Inventory.Store(watched)
 	}
 }
 
@@ -192,29 +197,27 @@
 	}
 }
 
-// applyUpdate applies an update that was received at now. The age in the update
-// determines when the list was requested. The error is an *EntryError.
-func applyUpdate(v *Inventory, u *pb.InventoryUpdate, now time.Time) error {
-	if u.GetHeartbeat() {
-		return nil
-	}
+// applyUpdate returns the list of a watched process after an update that was
+// received at now. watched is that process's list before the update, which may
+// differ from the inventory's: this process may have read a list of its own
+// meanwhile. The age in the update determines when the list was requested. The
+// error is an *EntryError.
+func applyUpdate(watched *List, u *pb.InventoryUpdate, now time.Time) (*List, error) {
 	requestedAt := now.Add(-time.Duration(u.GetAgeUs()) * time.Microsecond) //nolint:gosec // Far below the limit.
 	targets := make([]Target, 0, len(u.GetEntries()))
 	for _, e := range u.GetEntries() {
 		t, err := unpackTarget(e, requestedAt)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		targets = append(targets, t)
 	}
 	if u.GetWhole() {
-		v.Replace(targets, requestedAt)
-		return nil
+		return newList(targets, requestedAt), nil
 	}
 	removed := make([]TargetID, len(u.GetRemoved()))
 	for i, id := range u.GetRemoved() {
 		removed[i] = TargetID(id)
 	}
-	v.ApplyDelta(targets, removed, requestedAt)
-	return nil
+	return watched.withDelta(targets, removed, requestedAt), nil
 }
