Guard a backend's entry in the list against concurrent readers

A new list replaced a backend's entry under the fleet's mutex while the end of an attempt, a health check and a log line read the target's ID from it without the mutex: a data race of the product.

Change: a backend's ID, service and pool don't change and are fields of their own; an entry that moves to another service is another backend. The test counts the second request by its own ID at all ten targets instead of two.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -7,6 +7,7 @@
 	"github.com/peridotmux/peridotmux/discovery"
 	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/outlier"
+	"github.com/peridotmux/peridotmux/route"
 )
 
 const (
@@ -32,8 +33,12 @@
 	connLimitBackoff = 500 * time.Millisecond
 )
 
-// backend is this router's state of one target. The fleet's mutex guards it.
+// backend is this router's state of one target. The fleet's mutex guards all fields
+// but id, service and pool, which don't change.
 type backend struct {
+	id      discovery.TargetID
+	service route.ServiceName
+	// target is the target's entry in the newest list.
 	target *discovery.Target
 	pool   *connpool.Pool
 	// inFlight maps each of this router's requests in flight at the target to its
@@ -95,13 +100,16 @@
 }
 
 func newBackend(t *discovery.Target, pool *connpool.Pool) *backend {
-	return &backend{target: t, pool: pool, inFlight: make(map[*selection]time.Time), slowness: 1, listColdUntil: t.ColdUntil}
+	return &backend{
+		id: t.ID, service: t.Service, target: t, pool: pool, inFlight: make(map[*selection]time.Time),
+		slowness: 1, listColdUntil: t.ColdUntil,
+	}
 }
 
 // refresh applies a new list entry of the same target. It returns false if the
-// entry has another address or start time and thus is another backend.
+// entry has another service, address or start time and thus is another backend.
 func (b *backend) refresh(t *discovery.Target) bool {
-	if t.Addr != b.target.Addr || t.BornUnixMS != b.target.BornUnixMS {
+	if t.Service != b.service || t.Addr != b.target.Addr || t.BornUnixMS != b.target.BornUnixMS {
 		return false
 	}
 	b.target = t
--- a/forward/call.go
+++ b/forward/call.go
@@ -135,7 +135,7 @@
 		c.req.trace.add(decision{msg: msgExtraDenied, at: now, service: c.service})
 		return false
 	}
-	id := string(sel.backend.target.ID)
+	id := string(sel.backend.id)
 	c.req.trace.add(decision{msg: msgTargetChosen, at: now, service: c.service, target: id, hedge: hedge, candidate: &sel.candidate, cost: sel.cost})
 	c.tried = append(c.tried, sel.backend)
 	c.inFlight++
@@ -158,7 +158,7 @@
 func (c *call) recordEnd(sel *selection, r *result) {
 	out := &r.outcome
 	c.server.fleet.finish(sel, out, r.endedAt)
-	c.req.trace.add(decision{msg: msgAttemptEnded, at: r.endedAt, service: c.service, target: string(sel.backend.target.ID), hedge: r.hedge, outcome: out})
+	c.req.trace.add(decision{msg: msgAttemptEnded, at: r.endedAt, service: c.service, target: string(sel.backend.id), hedge: r.hedge, outcome: out})
 	c.server.cfg.Metrics.Attempt(string(c.service), out.Verdict.String(), out.ServiceTime)
 	if out.Success() {
 		c.server.serviceTimes.add(c.req.route.Name, out.ServiceTime)
--- a/forward/gather_test.go
+++ b/forward/gather_test.go
@@ -82,11 +82,18 @@
 		t.Fatalf("status %d after %v with three shards lost", got.status, time.Since(start))
 	}
 	f.setTargets(entries[6:]...)
-	before := len(targets[6].requests()) + len(targets[7].requests())
-	got := f.get("/all/x")
-	after := len(targets[6].requests()) + len(targets[7].requests())
-	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || before != after {
-		t.Fatalf("status %d, Retry-After %q, %d requests sent", got.status, got.header.Get("Retry-After"), after-before)
+	got := f.send(http.MethodGet, "/all/x", "", "id-2", 2000)
+	time.Sleep(20 * time.Millisecond)
+	sent := 0
+	for _, s := range targets {
+		for _, q := range s.requests() {
+			if q.header.Get("Req-Id") == "id-2" {
+				sent++
+			}
+		}
+	}
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || sent != 0 {
+		t.Fatalf("status %d, Retry-After %q, %d requests sent", got.status, got.header.Get("Retry-After"), sent)
 	}
 }
 
--- a/forward/health.go
+++ b/forward/health.go
@@ -83,7 +83,7 @@
 func (hc *healthChecker) check(ctx context.Context, b *backend) {
 	h := hc.query(ctx, b)
 	hc.fleet.recordHealth(b, &h, time.Now())
-	hc.log.Info("target checked", "target", string(b.target.ID), "service", string(b.target.Service),
+	hc.log.Info("target checked", "target", string(b.id), "service", string(b.service),
 		"reached", h.reached, "healthy", h.healthy, "busy", h.busy, "id", h.id, "cold_until", h.coldUntil, "error", h.cause)
 }
 
@@ -97,7 +97,7 @@
 		return
 	}
 	b.nextCheckAt = now.Add(recheckInterval)
-	if h.id != "" && h.id != string(b.target.ID) {
+	if h.id != "" && h.id != string(b.id) {
 		b.replaced = true
 		return
 	}
@@ -170,7 +170,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table != nil {
-		if s, ok := f.table.Services[b.target.Service]; ok && s.HealthPath != "" {
+		if s, ok := f.table.Services[b.service]; ok && s.HealthPath != "" {
 			return s.HealthPath
 		}
 	}
--- a/forward/outliers.go
+++ b/forward/outliers.go
@@ -9,7 +9,7 @@
 
 // incarnation identifies the backend's target in its current incarnation.
 func (b *backend) incarnation() outlier.Incarnation {
-	return outlier.Incarnation{ID: b.target.ID, BornUnixMS: b.target.BornUnixMS}
+	return outlier.Incarnation{ID: b.id, BornUnixMS: b.target.BornUnixMS}
 }
 
 // outlierCounts returns what the end of an attempt adds to the counts that routers
--- a/forward/serverlog.go
+++ b/forward/serverlog.go
@@ -25,7 +25,7 @@
 		attrs = append(attrs, "lacking", g.missingDetails())
 	}
 	if got != nil && got.backend != nil {
-		attrs = append(attrs, "status", got.outcome.Status, "target", string(got.backend.target.ID), "hedge", got.hedge)
+		attrs = append(attrs, "status", got.outcome.Status, "target", string(got.backend.id), "hedge", got.hedge)
 	}
 	s.cfg.Log.Info(msgAnswered, attrs...)
 }
--- a/forward/status.go
+++ b/forward/status.go
@@ -39,14 +39,14 @@
 		all = append(all, b)
 	}
 	slices.SortFunc(all, func(a, b *backend) int {
-		return cmp.Or(cmp.Compare(a.target.Service, b.target.Service), cmp.Compare(a.target.ID, b.target.ID))
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.id, b.id))
 	})
 	out := make([]string, 0, len(all)+1)
 	out = append(out, fmt.Sprintf("gateways known: %d", f.routers))
 	for _, b := range all {
 		c := b.candidate(now, b.target.DataCentre == f.dataCentre)
 		out = append(out, fmt.Sprintf("%-16s %-20s %-10s %-12s in flight %d, connections %d, slowness %.1f, failing %.2f",
-			b.target.Service, b.target.ID, b.target.DataCentre, f.stateName(b, now), c.inFlight, b.pool.NumOpen(), c.slowness, c.failureRate))
+			b.service, b.id, b.target.DataCentre, f.stateName(b, now), c.inFlight, b.pool.NumOpen(), c.slowness, c.failureRate))
 	}
 	return out
 }
