Reserve a loopback network for each run of the soak and of the process tests

Cause: soaks took their addresses from the seed, and the tests of whole processes looked for free ports, closed them and started processes there later.

Ruled out: ports picked by the system, since settings name them before the processes bind them.

Change: a run holds 127.N.0.0/16 by a listener in it for as long as it lasts; the next run takes the next N. Nobody else of this project uses its ports.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -12,12 +12,14 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/control/adminclient"
+	"github.com/peridotmux/peridotmux/internal/loopback"
 )
 
 const (
@@ -104,19 +106,27 @@
 	lastPort  = 28000
 )
 
-// nextPort is the port to try next. It starts at a port that depends on the
-// process id, so that concurrent test processes rarely collide.
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+// testNetwork returns the loopback network that this test process holds until it ends.
+var testNetwork = sync.OnceValues(func() (*loopback.Network, error) {
+	return loopback.Reserve(uint64(os.Getpid())) //nolint:gosec // Not negative.
+})
+
+// nextPort is the port to try next.
+var nextPort = firstPort
 
 // freeAddrs returns n loopback addresses with no listener.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
+	ips, err := testNetwork()
+	if err != nil {
+		t.Fatal(err)
+	}
 	var out []string
 	for attempt := 0; len(out) < n; attempt++ {
 		if attempt > lastPort-firstPort {
 			t.Fatal("no free ports")
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		addr := fmt.Sprintf("%s:%d", ips.IP(0, 2), nextPort)
 		if nextPort++; nextPort > lastPort {
 			nextPort = firstPort
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,7 +62,7 @@
 	if path == "/once/x" {
 		method, body = http.MethodPost, strings.NewReader("body of "+id)
 	}
-	url := fmt.Sprintf("http://%s:%d%s", l.cluster.cfg.gatewayIP(gateway), gatewayPort, path)
+	url := fmt.Sprintf("http://%s:%d%s", l.cluster.gatewayIP(gateway), gatewayPort, path)
 	r, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
 		l.cluster.ledger.addViolation("request not made: %v", err)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/peridotmux/peridotmux/internal/loopback"
 )
 
 // The size, ports and time bounds of a soak's cluster.
@@ -44,7 +46,7 @@
 
 // Config configures a soak.
 type Config struct {
-	// Seed determines the disruptions, the requests and the loopback addresses.
+	// Seed determines the disruptions and the requests.
 	Seed uint64
 	// Duration is how long disruptions are started.
 	Duration time.Duration
@@ -63,6 +65,7 @@
 // between them, stand-in targets and the target list.
 type cluster struct {
 	cfg           Config
+	network       *loopback.Network
 	ledger        *ledger
 	list          *targetList
 	targets       []*standinTarget
@@ -72,19 +75,20 @@
 	listServer    *http.Server
 }
 
-// subnet returns the second byte of the cluster's loopback addresses. It differs
-// between seeds, so that soaks on one machine don't clash.
-func (c *Config) subnet() int { return 1 + int(c.Seed%200) } //nolint:gosec // Below 200.
-
-func (c *Config) memberIP(i int) string  { return fmt.Sprintf("127.%d.1.%d", c.subnet(), i+1) }
-func (c *Config) gatewayIP(i int) string { return fmt.Sprintf("127.%d.2.%d", c.subnet(), i+1) }
-func (c *Config) listIP() string         { return fmt.Sprintf("127.%d.4.1", c.subnet()) }
+func (c *cluster) memberIP(i int) string  { return c.network.IP(1, i+1) }
+func (c *cluster) gatewayIP(i int) string { return c.network.IP(2, i+1) }
+func (c *cluster) targetIP(i int) string  { return c.network.IP(3, i+1) }
+func (c *cluster) listIP() string         { return c.network.IP(4, 1) }
 
 // dataCentreOf spreads VMs and targets over three data centres.
 func dataCentreOf(i int) string { return [...]string{"dc-a", "dc-b", "dc-c"}[i%3] }
 
 func newCluster(cfg Config) (*cluster, error) {
-	c := &cluster{cfg: cfg, ledger: newLedger(), list: &targetList{}}
+	network, err := loopback.Reserve(cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{cfg: cfg, network: network, ledger: newLedger(), list: &targetList{}}
 	for _, build := range []func() error{c.startTargets, c.startList, c.startControl, c.startGateways} {
 		if err := build(); err != nil {
 			c.close()
@@ -106,7 +110,7 @@
 func (c *cluster) startTargets() error {
 	for i := range shards + 1 {
 		for j := range replicas {
-			addr := fmt.Sprintf("127.%d.3.%d:8080", c.cfg.subnet(), i*replicas+j+1)
+			addr := c.targetIP(i*replicas+j) + ":8080"
 			t, err := startTarget(c.ledger, fmt.Sprintf("t%d-%d", i, j), serviceName(i), dataCentreOf(j), addr)
 			if err != nil {
 				return err
@@ -119,7 +123,7 @@
 }
 
 func (c *cluster) startList() error {
-	l, err := net.Listen("tcp", c.cfg.listIP()+":8229")
+	l, err := net.Listen("tcp", c.listIP()+":8229")
 	if err != nil {
 		return err
 	}
@@ -134,7 +138,7 @@
 		if i > 0 {
 			out += ","
 		}
-		out += fmt.Sprintf("%s:%d", c.cfg.memberIP(i), controlPort)
+		out += fmt.Sprintf("%s:%d", c.memberIP(i), controlPort)
 	}
 	return out
 }
@@ -173,13 +177,13 @@
 `
 
 func (c *cluster) listSection() string {
-	return fmt.Sprintf("\n[target list]\naddress = %s:8229\nlag = %s\ndrain_time = %s\n", c.cfg.listIP(), listLag, drainTime)
+	return fmt.Sprintf("\n[target list]\naddress = %s:8229\nlag = %s\ndrain_time = %s\n", c.listIP(), listLag, drainTime)
 }
 
 // writeMemberSettings writes the settings of member i. firstStart is whether the
 // members form a new group.
 func (c *cluster) writeMemberSettings(i int, firstStart bool) error {
-	ip := c.cfg.memberIP(i)
+	ip := c.memberIP(i)
 	text := fmt.Sprintf(controlSettingsFormat, i, dataCentreOf(i), ip, controlPort, ip, rpcPort, ip, rpcPort+1,
 		c.seeds(), rpcPort, firstStart, c.dataDir(i)) + c.listSection()
 	return os.WriteFile(c.path("control", i, ".ini"), []byte(text), 0o600)
@@ -193,7 +197,7 @@
 
 func (c *cluster) startControl() error {
 	for i := range controls {
-		ip := c.cfg.memberIP(i)
+		ip := c.memberIP(i)
 		p, err := newProxy(fmt.Sprintf("%s:%d", ip, rpcPort), fmt.Sprintf("%s:%d", ip, rpcPort+1))
 		if err != nil {
 			return err
@@ -212,7 +216,7 @@
 
 func (c *cluster) startGateways() error {
 	for i := range gateways {
-		ip := c.cfg.gatewayIP(i)
+		ip := c.gatewayIP(i)
 		text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
 			c.seeds(), rpcPort, gracePeriod) + c.listSection()
 		if err := os.WriteFile(c.path("gateway", i, ".ini"), []byte(text), 0o600); err != nil {
@@ -257,4 +261,5 @@
 	if c.listServer != nil {
 		_ = c.listServer.Close()
 	}
+	c.network.Close()
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -96,7 +96,7 @@
 }
 
 func (o *operator) call(ctx context.Context, method string, member int, path string, body []byte) (int, []byte, error) {
-	url := fmt.Sprintf("http://%s:%d%s", o.cluster.cfg.memberIP(member), controlPort, path)
+	url := fmt.Sprintf("http://%s:%d%s", o.cluster.memberIP(member), controlPort, path)
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,7 +110,7 @@
 // waitReady polls gateway i's readiness and reports whether it became ready
 // before ctx was done.
 func (r *runner) waitReady(ctx context.Context, i int) bool {
-	url := fmt.Sprintf("http://%s:%d/", r.cluster.cfg.gatewayIP(i), readinessPort)
+	url := fmt.Sprintf("http://%s:%d/", r.cluster.gatewayIP(i), readinessPort)
 	for ctx.Err() == nil {
 		q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
