Bound the bytes, memory and time of responses that never end

Cause: a response's head and body shared one bound of 4 MiB, so that a head without end was read and kept up to it, and the bodies of all targets together had no bound.

Ruled out: deadlines alone, which hold but come after the memory is gone.

Change: internal/response reads the responses of both data paths: 64 KiB of head, few informational responses, a body that grows with what arrives, and one memory for all bodies being read (an eighth of the process's). A part of a gathered response is bounded by the records that the caller gets. Idle connections are checked for unsolicited bytes each 5 s. A request's late response is no health response.

Found with it: an attempt that was withdrawn while it connected kept its target out of the request's later attempts. If the hedge that replaced it failed, the request failed with a healthy target left. TestWithdrawnTargetIsUsedAfterFailedHedge failed with status 502 before.

--- a/forward/call.go
+++ b/forward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,8 @@
 	req     *request
 	service route.ServiceName
 	median  time.Duration
-	tried   []*backend
+	// tried are the targets that the request was sent to or may still be.
+	tried []*backend
 	// sendStates holds the state of each attempt.
 	sendStates []*sendState
 	// inFlight is the number of attempts in flight. rejections is the number of
@@ -143,7 +145,7 @@
 	c.sendStates = append(c.sendStates, s)
 	a := &attempt{
 		headers: &c.server.cfg.Headers, pool: sel.backend.pool, targetID: id,
-		request: c.req, deadline: c.req.deadline, sendState: s,
+		request: c.req, deadline: c.req.deadline, sendState: s, memory: c.server.responseMemory,
 	}
 	c.server.workers.run(func() {
 		r := &result{shard: shard, backend: sel.backend, hedge: hedge, sendState: s, outcome: a.run(ctx)}
@@ -176,6 +178,10 @@
 // another target.
 func (c *call) countResult(r *result) bool {
 	c.inFlight--
+	if r.outcome.Withdrawn {
+		// The target got nothing, and there is a connection to it by now.
+		c.tried = slices.DeleteFunc(c.tried, func(b *backend) bool { return b == r.backend })
+	}
 	if r.outcome.Verdict == NotRun {
 		c.rejections++
 		if !r.sendState.neverSent() {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,10 +1,8 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,11 +11,17 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 )
 
 const (
 	// maxResponseBytes bounds the body of a target's response.
 	maxResponseBytes = 4 << 20
+	// minPartLimit and partLimitFactor bound the body of a gathered response's part:
+	// to minPartLimit bytes, or to partLimitFactor times the records that the caller
+	// gets, whichever is more.
+	minPartLimit    = 64 << 10
+	partLimitFactor = 8
 	// maxResponseHeadBytes bounds the status line and headers of a target's
 	// response.
 	maxResponseHeadBytes = 64 << 10
@@ -124,6 +128,8 @@
 	deadline time.Time
 	// sendState lets the attempt be withdrawn while it waits for a connection.
 	sendState *sendState
+	// memory bounds the bodies of the responses that are being read.
+	memory *response.Memory
 }
 
 // run sends the request and waits for its response. When ctx ends, no later than
@@ -237,11 +243,11 @@
 func (a *attempt) receive(c *connpool.Conn) (Outcome, bool) {
 	clean := true
 	for range maxStrayResponses + 1 {
-		c.LimitedReader.N = maxResponseBytes + maxResponseHeadBytes
-		resp, body, err := readResponse(c, a.request.method)
+		resp, body, err := response.Read(c, a.request.method, response.Limits{
+			HeadBytes: maxResponseHeadBytes, BodyBytes: a.bodyLimit(), Memory: a.memory,
+		})
 		if err != nil {
-			var protoErr *ProtocolError
-			return Outcome{Verdict: Unknown, ConnectionLost: !errors.As(err, &protoErr), Cause: err}, false
+			return Outcome{Verdict: Unknown, ConnectionLost: connectionEnded(err), Cause: err}, false
 		}
 		if id := resp.Header.Get(a.headers.RequestID); id != "" && id != a.request.id {
 			clean = false
@@ -254,55 +260,26 @@
 	return Outcome{Verdict: Unknown, Cause: &ProtocolError{Reason: "it belongs to other requests"}}, false
 }
 
-// readResponse reads one final response; informational (1xx) responses are skipped.
-func readResponse(c *connpool.Conn, method string) (*http.Response, []byte, error) {
-	for {
-		resp, err := http.ReadResponse(c.Reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, nil, wrapReadError(err)
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, nil, wrapReadError(err)
-		}
-		return resp, body, nil
+// bodyLimit returns the maximum size in bytes of a response's body. A part of a
+// gathered response has few records, so that a target that sends bytes without end is
+// left early.
+func (a *attempt) bodyLimit() int64 {
+	gather := a.request.route.Gather
+	if gather == nil {
+		return maxResponseBytes
 	}
+	return max(minPartLimit, partLimitFactor*int64(gather.TopK)*recordBytes)
 }
 
-// wrapReadError distinguishes malformed responses, returned as a *ProtocolError,
-// from connections that ended, returned unchanged.
-func wrapReadError(err error) error {
-	var netErr net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
-		return err
-	}
-	return &ProtocolError{Reason: err.Error()}
-}
-
-func readBody(resp *http.Response) ([]byte, error) {
-	n := resp.ContentLength
-	switch {
-	case n > maxResponseBytes:
-		return nil, &ProtocolError{Reason: "it is too large"}
-	case n == 0:
-		return nil, nil
-	case n > 0:
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	var buf bytes.Buffer
-	read, err := buf.ReadFrom(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if read > maxResponseBytes {
-		return nil, &ProtocolError{Reason: "it is too large"}
-	}
-	return buf.Bytes(), nil
+// connectionEnded reports whether an error of response.Read means that the connection
+// ended, rather than that the target sent something else than a response.
+func connectionEnded(err error) bool {
+	var (
+		malformed *response.MalformedError
+		tooLarge  *response.TooLargeError
+		memory    *response.OutOfMemoryError
+	)
+	return !errors.As(err, &malformed) && !errors.As(err, &tooLarge) && !errors.As(err, &memory)
 }
 
 // classify determines the outcome of a response to this attempt.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -345,3 +346,22 @@
 		t.Fatalf("the target continued for %v after the caller had disconnected", after)
 	}
 }
+
+// A target from which an attempt was withdrawn while it connected must be used if the
+// hedge that replaced it fails.
+func TestWithdrawnTargetIsUsedAfterFailedHedge(t *testing.T) {
+	slow, bad := newFakeTarget(t, "slow-to-connect", "one"), newFakeTarget(t, "bad", "one")
+	bad.answer = func(c net.Conn, _ *http.Request, _ []byte, _ int) { _, _ = io.WriteString(c, "no response\r\n\r\n") }
+	f := newTestServer(t, testTable(), slow.entry(), bad.entry())
+	f.fleet.dialer.ControlContext = func(_ context.Context, _, addr string, _ syscall.RawConn) error {
+		if addr == slow.addr.String() {
+			time.Sleep(connectTimeout * 8 / 10)
+		}
+		return nil
+	}
+	f.fleet.byID["bad"].failureRate, f.fleet.byID["bad"].failureRateAt = 0.9, time.Now()
+	got := f.get("/one/x")
+	if got.status != http.StatusOK || len(bad.requests()) != 1 || len(slow.requests()) != 1 {
+		t.Fatalf("status %d, %d requests at the failing target, %d at the other", got.status, len(bad.requests()), len(slow.requests()))
+	}
+}
--- a/forward/health.go
+++ b/forward/health.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 )
 
 const (
 	// checkInterval is the time between two searches for suspect targets and for
 	// attempts that have been in flight for too long.
 	checkInterval = 20 * time.Millisecond
+	// maxHealthBytes bounds the body of a health response.
+	maxHealthBytes = 64 << 10
 	// checkTimeout bounds one health check.
 	checkTimeout = 500 * time.Millisecond
 	// recheckInterval is the minimum time between two health checks of one target.
@@ -144,11 +147,13 @@
 	if _, err := c.Net.Write(out); err != nil {
 		return health{cause: err}, false
 	}
-	c.LimitedReader.N = maxResponseHeadBytes
-	resp, _, err := readResponse(c, http.MethodGet)
+	resp, _, err := response.Read(c, http.MethodGet, response.Limits{HeadBytes: maxResponseHeadBytes, BodyBytes: maxHealthBytes})
 	if err != nil {
 		return health{cause: err}, false
 	}
+	if resp.Header.Get(hc.headers.RequestID) != "" {
+		return health{cause: &ProtocolError{Reason: "a request's response to a health check"}}, false
+	}
 	applyKeepAlive(c, resp)
 	return hc.parse(resp, time.Now()), !resp.Close && c.Reader.Buffered() == 0
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http"
@@ -14,12 +15,17 @@
 
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/internal/response"
 	"github.com/peridotmux/peridotmux/outlier"
 	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/telemetry"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
+// defaultResponseMemory is the memory, in bytes, of the responses that are being
+// read.
+const defaultResponseMemory = 32 << 20
+
 // Config configures a Server.
 type Config struct {
 	Headers    HeaderNames
@@ -33,6 +39,9 @@
 	ListLag time.Duration
 	// LinkBitsPerSecond is the rate of the VM's link, 0 if unknown.
 	LinkBitsPerSecond float64
+	// ResponseMemoryBytes bounds the memory of the responses that are being read, 0
+	// for defaultResponseMemory.
+	ResponseMemoryBytes int64
 	// Outliers are the targets that all routers together found to be worse than
 	// others, and Collector receives this router's observations. Both are nil for a
 	// router that doesn't share them.
@@ -52,9 +61,11 @@
 	checker      *healthChecker
 	requestLog   *requestLogger
 	workers      *workers
-	table        atomic.Pointer[route.Table]
-	sequences    sync.Map // of route.Name to *atomic.Uint64
-	active       atomic.Int64
+	// responseMemory bounds the bodies of the responses that are being read.
+	responseMemory *response.Memory
+	table          atomic.Pointer[route.Table]
+	sequences      sync.Map // of route.Name to *atomic.Uint64
+	active         atomic.Int64
 	// noKeepAlives makes responses carry "Connection: close".
 	noKeepAlives atomic.Bool
 }
@@ -68,6 +79,7 @@
 		cfg: c, fleet: newFleet(c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
 	}
+	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
 	s.checker = &healthChecker{fleet: s.fleet, headers: &s.cfg.Headers, log: c.Log}
 	return s
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 	idleTimeout = 60 * time.Second
 	// pathStatus is the path of the status page for operators.
 	pathStatus = "/status"
+	// responseMemoryDivisor is the part of the process's memory for responses that are
+	// being read: one in responseMemoryDivisor.
+	responseMemoryDivisor = 8
 	// bitsPerMegabit converts a link's rate to bits per second.
 	bitsPerMegabit = 1e6
 	// maxHeaderBytes bounds a request's headers. A route table may lower it.
@@ -130,12 +133,13 @@
 		Budget: forward.BudgetLimits{
 			Ratio: c.Settings.Budget.Ratio, Slack: c.Settings.Budget.Slack, Window: c.Settings.Budget.Window,
 		},
-		ListLag:           c.Settings.TargetList.Lag,
-		LinkBitsPerSecond: c.Settings.LinkMbps * bitsPerMegabit,
-		Outliers:          g.outliers.View,
-		Collector:         g.outliers.Collector,
-		Log:               logs.Logger(settings.PartEntry),
-		Metrics:           metrics.Forward,
+		ListLag:             c.Settings.TargetList.Lag,
+		LinkBitsPerSecond:   c.Settings.LinkMbps * bitsPerMegabit,
+		ResponseMemoryBytes: int64(c.Settings.MemoryMB) << 20 / responseMemoryDivisor,
+		Outliers:            g.outliers.View,
+		Collector:           g.outliers.Collector,
+		Log:                 logs.Logger(settings.PartEntry),
+		Metrics:             metrics.Forward,
 	})
 	return g, nil
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -20,6 +20,8 @@
 	// maxKeptBufferSize is the largest request buffer, in bytes, that a connection
 	// keeps for reuse.
 	maxKeptBufferSize = 16 << 10
+	// idleCheckInterval is the time between two checks of the idle connections.
+	idleCheckInterval = 5 * time.Second
 )
 
 // ConnectionLimitError reports that the maximum number of connections to a
@@ -55,6 +57,8 @@
 	// open counts idle and in-use connections and dials in progress.
 	open   int
 	closed bool
+	// checkedAt is when Trim last checked the idle connections.
+	checkedAt time.Time
 	// suspected is set while the target may have restarted: it closed a
 	// connection and has sent no response since.
 	suspected bool
@@ -231,9 +235,15 @@
 }
 
 // Trim closes the connections that have been idle since before idleBefore. For
-// the one that was put back last, lastIdleBefore applies instead.
+// the one that was put back last, lastIdleBefore applies instead. Now and then it
+// also closes those that the target closed or sent unsolicited bytes on, which
+// would otherwise fill the receive buffer.
 func (p *Pool) Trim(idleBefore, lastIdleBefore time.Time) {
 	p.mu.Lock()
+	check := time.Since(p.checkedAt) >= idleCheckInterval
+	if check {
+		p.checkedAt = time.Now()
+	}
 	keep := p.idle[:0:0]
 	var drop []*Conn
 	for i, c := range p.idle {
@@ -241,7 +251,11 @@
 		if i == len(p.idle)-1 {
 			cutoff = lastIdleBefore
 		}
-		if c.idleSince.Before(cutoff) {
+		dead := check && !c.alive()
+		if dead && !c.idleExpired() {
+			p.suspected = true
+		}
+		if dead || c.idleSince.Before(cutoff) {
 			drop = append(drop, c)
 			continue
 		}
--- a/target/answer.go
+++ b/target/answer.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"syscall"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 )
 
 // maxHeaderBytes bounds the status line and headers of an answer.
@@ -22,14 +22,11 @@
 // readAnswer reads the answer to a and reports whether the connection can be
 // reused.
 func readAnswer(c *connpool.Conn, a *attempt) (Outcome, bool) {
-	c.LimitedReader.N = MaxAnswerBytes + maxHeaderBytes
-	resp, err := http.ReadResponse(c.Reader, nil)
+	resp, body, err := response.Read(c, http.MethodPost, response.Limits{
+		HeadBytes: maxHeaderBytes, BodyBytes: MaxAnswerBytes, Memory: a.memory,
+	})
 	if err != nil {
-		return readFailure(c, err), false
-	}
-	body, err := readBody(resp)
-	if err != nil {
-		return readFailure(c, err), false
+		return readFailure(err), false
 	}
 	out, valid := classify(resp, a)
 	if !valid {
@@ -42,49 +39,11 @@
 	return out, !resp.Close
 }
 
-// TooLargeError reports that the body of an answer exceeded MaxAnswerBytes.
-type TooLargeError struct{}
-
-// Error implements error.
-func (TooLargeError) Error() string { return "answer too large" }
-
-// readBody reads the whole body. It returns a TooLargeError if the body exceeds
-// MaxAnswerBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	n := resp.ContentLength
-	switch {
-	case n > MaxAnswerBytes:
-		return nil, TooLargeError{}
-	case n == 0:
-		return nil, nil
-	case n > 0:
-		body := make([]byte, n)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
-			return nil, err
-		}
-		return body, nil
-	}
-	var buf bytes.Buffer
-	read, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if read > MaxAnswerBytes {
-		return nil, TooLargeError{}
-	}
-	return buf.Bytes(), nil
-}
-
 // readFailure classifies an error while reading an answer. The status is always
 // Unknown, because the target may have run the search.
-func readFailure(c *connpool.Conn, err error) Outcome {
+func readFailure(err error) Outcome {
 	out := Outcome{Status: Unknown, Reason: ReasonBadAnswer}
-	switch {
-	case isTimeout(err):
-		out.Reason = ReasonConnectionLost
-	case c.LimitedReader.N <= 0:
-		out.Reason = ReasonBadAnswer
-	case isConnectionClosed(err):
+	if isTimeout(err) || isConnectionClosed(err) {
 		out.Reason = ReasonConnectionLost
 	}
 	return out
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 )
 
 // attempt is one search in progress.
@@ -17,6 +18,8 @@
 	pool   *connpool.Pool
 	// number is the value of HeaderAttempt.
 	number string
+	// memory bounds the bodies of the answers that are being read, nil for no bound.
+	memory *response.Memory
 
 	mu sync.Mutex
 	// conn is the connection that the search reads from, nil otherwise.
--- a/target/client.go
+++ b/target/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -26,6 +27,9 @@
 	// deadlineGrace is how long to wait past the deadline for the target's
 	// StatusTooLate, so that the connection can be reused.
 	deadlineGrace = 25 * time.Millisecond
+	// answerMemory bounds the bytes of the answers of all targets that are being
+	// read.
+	answerMemory = 32 << 20
 )
 
 // Options configures a Client. Zero fields take the defaults.
@@ -51,6 +55,7 @@
 	opts    Options
 	dialer  net.Dialer
 	attempt atomic.Uint64
+	memory  *response.Memory
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*connpool.Pool
@@ -69,7 +74,7 @@
 	if o.CancelWait == 0 {
 		o.CancelWait = DefaultCancelWait
 	}
-	c := &Client{opts: o, pools: make(map[topology.TargetID]*connpool.Pool)}
+	c := &Client{opts: o, memory: response.NewMemory(answerMemory), pools: make(map[topology.TargetID]*connpool.Pool)}
 	c.dialer.KeepAlive = time.Minute
 	if o.LocalAddr.IsValid() {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: o.LocalAddr.AsSlice()}
@@ -93,6 +98,7 @@
 		search: s,
 		pool:   c.pool(s.Target),
 		number: strconv.FormatUint(c.attempt.Add(1), 10),
+		memory: c.memory,
 	}
 	begun := time.Now()
 	out := a.run(ctx)
--- a/target/health.go
+++ b/target/health.go
@@ -8,18 +8,14 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/internal/response"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
 // readUnmatched reads the body of an answer without checking that it belongs to the
 // request. The error is a *StatusError if the status is not 200.
 func readUnmatched(c *connpool.Conn) ([]byte, error) {
-	c.LimitedReader.N = 2 * maxHeaderBytes
-	resp, err := http.ReadResponse(c.Reader, nil)
-	if err != nil {
-		return nil, err
-	}
-	body, err := readBody(resp)
+	resp, body, err := response.Read(c, http.MethodGet, response.Limits{HeadBytes: maxHeaderBytes, BodyBytes: maxHeaderBytes})
 	if err != nil {
 		return nil, err
 	}
