--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/peridotmux/peridotmux/internal/endless"
+	"github.com/peridotmux/peridotmux/internal/wait"
 )
 
 // startTimeout bounds the time until the first configuration is acknowledged and
@@ -38,6 +41,8 @@
 	// background counts disruptions that are still in progress, such as pending
 	// undos and restarts.
 	background sync.WaitGroup
+	// outMu guards cfg.Out.
+	outMu sync.Mutex
 }
 
 // Run starts a cluster, disrupts it at random for cfg.Duration under load, checks
@@ -58,6 +63,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.load.run(work) })
 	wg.Go(func() { r.operator.pollConfig(work) })
+	wg.Go(func() { r.disruptResponses(work) })
 	for until := time.Now().Add(cfg.Duration); time.Now().Before(until) && ctx.Err() == nil; {
 		r.disrupt(ctx)
 		r.collectViolations()
@@ -80,6 +86,8 @@
 }
 
 func (r *runner) printf(format string, args ...any) {
+	r.outMu.Lock()
+	defer r.outMu.Unlock()
 	_, _ = fmt.Fprintf(r.cluster.cfg.Out, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 }
 
@@ -262,6 +270,24 @@
 	r.undoAfter(d, func() { t.setMode(targetOK) })
 }
 
+// disruptResponses lets one target after another send bytes without end for a while,
+// beside the other disruptions, until cfg.Duration has passed or ctx ends. Its random
+// numbers are its own, so that the other disruptions of a seed don't depend on it.
+func (r *runner) disruptResponses(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.cluster.cfg.Duration)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(r.cluster.cfg.Seed, 7)) //nolint:gosec // Not a secret.
+	for ctx.Err() == nil {
+		t := r.cluster.targets[rng.IntN(len(r.cluster.targets))]
+		form := endless.Forms[rng.IntN(len(endless.Forms))]
+		r.printf("target %s: endless %s", t.id, form)
+		t.setEndless(form)
+		wait.For(ctx, time.Duration(500+rng.IntN(1500))*time.Millisecond)
+		t.setEndless("")
+		wait.For(ctx, time.Duration(rng.IntN(2000))*time.Millisecond)
+	}
+}
+
 func (r *runner) disruptTargetLink(_ context.Context, d time.Duration) {
 	t := r.cluster.targets[r.rng.IntN(len(r.cluster.targets))]
 	mode := linkMode(1 + r.rng.IntN(4)) //nolint:gosec // Below 5.
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/peridotmux/peridotmux/internal/endless"
 	"github.com/peridotmux/peridotmux/platform"
 	"github.com/peridotmux/peridotmux/platform/fake"
 )
@@ -39,6 +40,9 @@
 	mu       sync.Mutex
 	mode     targetMode
 	draining bool
+	// endless is the form in which the target sends bytes without end instead of
+	// responses, empty if it doesn't.
+	endless endless.Form
 }
 
 // ledger records the requests that targets ran and the violations found. Its
@@ -111,6 +115,18 @@
 	t.mode = m
 }
 
+func (t *standinTarget) setEndless(f endless.Form) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endless = f
+}
+
+func (t *standinTarget) endlessForm() endless.Form {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endless
+}
+
 func (t *standinTarget) state() (targetMode, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -123,6 +139,10 @@
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
 	if r.URL.Path == "/health" {
+		if f := t.endlessForm(); f != "" {
+			sendEndless(w, f, "", "")
+			return
+		}
 		w.Header().Set(headers.TargetID, t.id)
 		return
 	}
@@ -149,12 +169,26 @@
 		}
 		return
 	}
-	w.Header().Set(headers.Signature, signature(t.id, id))
 	body := answerBody(t.service, id)
+	if f := t.endlessForm(); f != "" {
+		sendEndless(w, f, fmt.Sprintf("%s: %s\r\n%s: %s\r\n", headers.RequestID, id, headers.Signature, signature(t.id, id)), body)
+		return
+	}
+	w.Header().Set(headers.Signature, signature(t.id, id))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write([]byte(body))
 }
 
+// sendEndless sends bytes of form f until the caller closes the connection.
+func sendEndless(w http.ResponseWriter, f endless.Form, header, body string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	endless.Write(c, f, header, body)
+	_ = c.Close()
+}
+
 // signature returns the signature of a target's response to request id.
 func signature(target, id string) string { return target + "." + id }
 
