Count a cold target's work by its own clock

On a busy VM that includes the owner's own delays, often more than the margin of 1.3, so that the target counted as warmer than it was.

Ruled out: a larger margin, which a busier VM passes too, and which makes every cold start longer.

Change: targets may say how long they worked on a search; the owner counts that, or the time it saw if that is shorter or the target doesn't say.

TestRampCountsTheTargetsOwnWork fails without the change.

--- a/owner/ramp.go
+++ b/owner/ramp.go
@@ -4,7 +4,7 @@
 
 const (
 	// warmMargin multiplies the work after which a target counts as warm,
-	// because the owner's measure of work includes network time.
+	// because a target may not say how long it worked.
 	warmMargin = 1.3
 	// bandFactor is the ratio of recent to long-term latency above which a
 	// target is taken to be cold again.
@@ -43,10 +43,23 @@
 // RampEvent is an event that changes a target's ramp.
 type RampEvent interface{ apply(r Ramp) Ramp }
 
-// Served is the event of a search that the target ran and answered.
+// Served is the event of a search that the target ran and answered. Service is the
+// time that it took as seen from here, Work the time that the target says it worked
+// on it, 0 if it doesn't say.
 type Served struct {
 	Process uint64
 	Service time.Duration
+	Work    time.Duration
+}
+
+// work returns how much the search warmed the target. The time seen from here
+// includes delays of the network and of this process, which would make a cold
+// target count as warm too early.
+func (e Served) work() time.Duration {
+	if e.Work > 0 && e.Work < e.Service {
+		return e.Work
+	}
+	return max(e.Service, 0)
 }
 
 // Shed is the event of a search that the target refused for lack of capacity,
@@ -162,7 +175,7 @@
 	if r.band.exceeded() {
 		return r.coldStart(r.Process)
 	}
-	r.Work += max(e.Service, 0)
+	r.Work += e.work()
 	return r
 }
 
--- a/owner/ramp_test.go
+++ b/owner/ramp_test.go
@@ -126,3 +126,21 @@
 		}
 	}
 }
+
+// A busy owner sees service times far above the target's own. A cold target that says
+// how long it worked must not get more than it can carry because of that.
+func TestRampCountsTheTargetsOwnWork(t *testing.T) {
+	const own = 20 * time.Millisecond
+	r := NewRamp(limits).Step(Served{Process: 1, Service: own, Work: own})
+	carried := limits.ColdLimit
+	for done := own; done < limits.WarmAfter; done += own {
+		r = r.Step(Served{Process: 1, Service: 3 * own, Work: own})
+		carried = limits.ColdLimit + int(float64(done)/float64(limits.WarmAfter)*float64(limits.Slots-limits.ColdLimit))
+		if r.Limit() > carried {
+			t.Fatalf("limit %d after %v of work, the target carries %d", r.Limit(), done, carried)
+		}
+	}
+	if without := NewRamp(limits).Step(Served{Process: 1, Service: 3 * own}); without.Work != 3*own {
+		t.Fatalf("work %v without the target's word, want the time seen", without.Work)
+	}
+}
--- a/owner/replica.go
+++ b/owner/replica.go
@@ -136,7 +136,7 @@
 	switch out.Reason {
 	case target.ReasonNone:
 		r.answeredAt = now
-		r.ramp = r.ramp.Step(Served{Process: out.Process, Service: out.ServiceTime})
+		r.ramp = r.ramp.Step(Served{Process: out.Process, Service: out.ServiceTime, Work: out.Work})
 		r.outlier = r.outlier.answered(out.ServiceTime)
 	case target.ReasonShed:
 		r.ramp = r.ramp.Step(Shed{Process: out.Process})
--- a/standin/search.go
+++ b/standin/search.go
@@ -30,6 +30,8 @@
 	restarted chan struct{}
 	// started is true once the search has a slot and an entry in the ledger.
 	started bool
+	// work is how long the search had its slot.
+	work time.Duration
 }
 
 // HashBody returns the xxhash of a request's body in hexadecimal.
@@ -212,7 +214,8 @@
 	}
 	now := time.Now()
 	ledger.finish(index, state, now)
-	slots.release(now.Sub(s.entry.StartedAt), s.restarted)
+	s.work = now.Sub(s.entry.StartedAt)
+	slots.release(s.work, s.restarted)
 	return status
 }
 
@@ -230,6 +233,8 @@
 	h.Set(target.HeaderVersions, joinVersions(versions))
 	if !s.started {
 		h.Set(target.HeaderStarted, "no")
+	} else {
+		h.Set(target.HeaderWork, strconv.FormatInt(s.work.Microseconds(), 10))
 	}
 	if status != http.StatusOK {
 		w.WriteHeader(status)
--- a/target/answer.go
+++ b/target/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/internal/response"
@@ -60,6 +61,7 @@
 	}
 	out.Process, _ = strconv.ParseUint(h.Get(HeaderProcess), 10, 64)
 	out.Versions = parseVersions(h.Get(HeaderVersions))
+	out.Work = parseWork(h.Get(HeaderWork))
 	out.TargetDone = true
 	if h.Get(HeaderStarted) == "no" {
 		return classifyNotStarted(resp.StatusCode, out)
@@ -121,6 +123,15 @@
 	return versions
 }
 
+// parseWork parses the value of HeaderWork. It returns 0 for a malformed one.
+func parseWork(text string) time.Duration {
+	us, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond //nolint:gosec // 32 bits.
+}
+
 // isConnectionClosed reports whether err means that the connection was closed.
 func isConnectionClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
--- a/target/protocol.go
+++ b/target/protocol.go
@@ -30,6 +30,9 @@
 	// HeaderProcess carries, in answers, a number that differs for each start
 	// of the target's process.
 	HeaderProcess = "Peridot-Process"
+	// HeaderWork carries, in answers to searches that were started, how long the
+	// target worked on the search, in microseconds. Targets may omit it.
+	HeaderWork = "Peridot-Work-Us"
 	// HeaderStarted is "no" in answers to searches that were not started.
 	HeaderStarted = "Peridot-Started"
 	// HeaderVersions lists, in answers, the index versions that the target
--- a/target/searcher.go
+++ b/target/searcher.go
@@ -80,6 +80,9 @@
 	Body []byte
 	// ServiceTime is the time from the start of Search to the answer or failure.
 	ServiceTime time.Duration
+	// Work is how long the target says that it worked on the search, 0 if it doesn't
+	// say.
+	Work time.Duration
 	// TargetDone is true if the target no longer works on the search, because it
 	// answered or never started. If false, the search occupies a slot of the target
 	// until Deadline.
