Expire a lease when the VM was suspended

Cause: leases are measured by Go's clock, which stands still while a VM is suspended. A router that was suspended for minutes held its lease afterwards and started work under records that could long be out of force.

Ruled out: the wall clock, which steps; a shorter lease, which no length makes safe.

Change: the lease compares the steady clock with the one that counts suspension. A difference expires it, and a renewal that was sent before doesn't extend it.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -22,6 +22,8 @@
 	// MaxClockDrift is subtracted from each lease because clocks may run at
 	// different rates.
 	MaxClockDrift = 30 * time.Millisecond
+	// suspensionTolerance is the suspended time that MaxClockDrift covers.
+	suspensionTolerance = 10 * time.Millisecond
 )
 
 // Lease is a router's current lease. Its zero value has expired. It is safe for
@@ -30,17 +32,47 @@
 	// end is when the lease expires, in nanoseconds since base.
 	end  atomic.Int64
 	base time.Time
+	// suspended returns the total time that the VM was suspended, nil if unknown.
+	suspended func() time.Duration
+	// seenSuspended is the suspended time that the lease accounts for, and resumedAt
+	// the time since base at which the last suspension was noticed, in nanoseconds.
+	seenSuspended atomic.Int64
+	resumedAt     atomic.Int64
 }
 
 // New returns an expired lease.
-func New(now time.Time) *Lease {
-	return &Lease{base: now}
+func New(now time.Time) *Lease { return newLease(now, suspendedTime) }
+
+func newLease(now time.Time, suspended func() time.Duration) *Lease {
+	l := &Lease{base: now, suspended: suspended}
+	l.seenSuspended.Store(int64(suspended()))
+	return l
+}
+
+// checkSuspension expires the lease if the VM was suspended since the last check.
+// Go's clock stands still meanwhile, so that the lease would seem to last longer.
+func (l *Lease) checkSuspension(now time.Time) {
+	if l.suspended == nil {
+		return
+	}
+	total, seen := int64(l.suspended()), l.seenSuspended.Load()
+	if total-seen <= int64(suspensionTolerance) {
+		return
+	}
+	l.resumedAt.Store(int64(now.Sub(l.base)))
+	l.end.Store(0)
+	l.seenSuspended.CompareAndSwap(seen, total)
 }
 
 // Extend extends the lease after a renewal that was sent at sent and confirmed
 // with a confirmation of the given age. It never shortens the lease, and reports
-// whether it extended it.
+// whether it extended it. A renewal that was sent before the VM was last suspended
+// doesn't count.
 func (l *Lease) Extend(sent time.Time, age time.Duration) bool {
+	l.checkSuspension(time.Now())
+	if resumed := l.resumedAt.Load(); resumed > 0 && int64(sent.Sub(l.base)) <= resumed {
+		return false
+	}
 	end := int64(sent.Sub(l.base) + Duration - MaxClockDrift - age)
 	for {
 		old := l.end.Load()
@@ -62,7 +94,10 @@
 }
 
 // Valid reports whether the lease is valid at now.
-func (l *Lease) Valid(now time.Time) bool { return now.Before(l.End()) }
+func (l *Lease) Valid(now time.Time) bool {
+	l.checkSuspension(now)
+	return now.Before(l.End())
+}
 
 // Covers reports whether the lease is valid for work that starts at now and ends
 // by deadline.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -57,3 +57,35 @@
 		t.Error("valid after it was revoked")
 	}
 }
+
+// A VM that was suspended must not use its lease afterwards, although Go's clock stood
+// still, nor one from a renewal that it sent before.
+func TestSuspendedVMHasNoLease(t *testing.T) {
+	now := time.Now()
+	var suspended time.Duration
+	l := newLease(now, func() time.Duration { return suspended })
+	l.Extend(now, 0)
+	if !l.Valid(now.Add(time.Second)) {
+		t.Fatal("no lease after a renewal")
+	}
+	suspended = 8 * time.Second
+	if l.Valid(now.Add(time.Second)) || l.Covers(now.Add(time.Second), now.Add(time.Second)) {
+		t.Error("the lease is used after a suspension")
+	}
+	if l.Extend(now.Add(time.Second), 0) || l.Valid(now.Add(time.Second)) {
+		t.Error("a renewal that was sent before the suspension extends the lease")
+	}
+	if !l.Extend(now.Add(2*time.Second), 0) || !l.Valid(now.Add(2*time.Second)) {
+		t.Error("no lease after a new renewal")
+	}
+}
+
+// The clocks of a VM that isn't suspended must agree within the tolerance.
+func TestSuspendedTimeIsSteady(t *testing.T) {
+	before := suspendedTime()
+	for range 1000 {
+		if d := suspendedTime() - before; d.Abs() > suspensionTolerance {
+			t.Fatalf("%v of suspension seen", d)
+		}
+	}
+}
