Tell late and unsent queries of the benchmark from lost ones

Cause (TestProductKeepsItsPromises: Lost 124 of 143 beside load): a caller of the benchmark stopped waiting at its deadline, and a query that the load generator couldn't even send in time counted as lost, too. On a busy machine the measure was late, not the product: an answer that comes after the deadline is still an answer.

Change: callers wait 2 s past the deadline. Lost counts queries without any reply, late ones show in the latency and not in complete, and unsent ones are counted apart. The test's bound stays: none lost.

--- a/bench/balancer.go
+++ b/bench/balancer.go
@@ -129,15 +129,19 @@
 	return b.addrs[n]
 }
 
+// lateReplyWait is how long a caller waits past its deadline, so that a reply that
+// comes late counts as late and not as lost.
+const lateReplyWait = 2 * time.Second
+
 // query sends q to a router and returns its reply; the zero Reply means that the
-// query was lost. If a dial fails, the next router is tried, since nothing was
-// sent yet.
+// query was lost: neither an answer nor a refusal came within lateReplyWait of the
+// deadline. If a dial fails, the next router is tried, since nothing was sent yet.
 func (b *balancer) query(ctx context.Context, q *api.Query, wait time.Duration) Reply {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return Reply{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+replyMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+lateReplyWait)
 	defer cancel()
 	for range b.addrs {
 		reply, err := b.send(ctx, b.nextRouter(), body)
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -29,7 +29,8 @@
 //   - MismatchedResults counts answers that contain the result of another query or
 //     shard.
 //   - DuplicateRuns counts non-idempotent queries that a shard started twice.
-//   - Lost counts queries without answer or refusal.
+//   - Lost counts queries that were sent and got neither an answer nor a refusal,
+//     not even late.
 //   - QuietViolationS is the time in seconds from the acceptance of an operator's
 //     change to the last search started on a target that it took out.
 //   - WeightedService is the service of the worst second; see weightedService.
@@ -57,6 +58,9 @@
 	Answered int `json:"answered"`
 	// Resent counts the sends after the first one of each query.
 	Resent int `json:"resent"`
+	// Unsent counts queries that the load generator could not send before their
+	// deadline.
+	Unsent int `json:"unsent,omitempty"`
 	// Missing counts the missing shards of answers by reason.
 	Missing map[api.MissingReason]int `json:"missing,omitempty"`
 	// Refusals counts refusals by code.
@@ -177,6 +181,8 @@
 		if onTime(s) && len(last.Answer.Results) == len(a.Group.Shards) {
 			c.complete++
 		}
+	case s.Unsent:
+		m.Unsent++
 	case last.Refusal == nil:
 		m.Lost++
 	}
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -14,8 +14,8 @@
 	// Start prepares the policy for queries to the targets of cluster. It returns when
 	// the policy is ready, or an error.
 	Start(ctx context.Context, cluster *Cluster) error
-	// Query sends a query through an available router and waits for the reply at
-	// most about wait. It is called concurrently.
+	// Query sends a query that must be answered within wait through an available
+	// router, and waits for the reply for some time more. It is called concurrently.
 	Query(ctx context.Context, a *Arrival, wait time.Duration) Reply
 	// Stop ends the policy and releases its resources.
 	Stop()
--- a/bench/run.go
+++ b/bench/run.go
@@ -36,6 +36,8 @@
 	Arrival *Arrival
 	// Replies holds the reply to each send, at least one.
 	Replies []Reply
+	// Unsent means that the load generator was so late that the query wasn't sent.
+	Unsent bool
 	// Latency is the time from the intended send time to the last reply.
 	Latency time.Duration
 }
@@ -129,6 +131,7 @@
 		time.Sleep(oneWay)
 		s.Replies = append(s.Replies, reply)
 		s.Latency = time.Since(intended)
+		s.Unsent = wait <= 0 && try == 0
 		got := reply.Answer != nil || reply.Refusal != nil
 		if got && !shouldResend(reply) || try >= sc.MaxResends || wait <= 0 {
 			return s
