Don't check the health of a target that was replaced

Each check took a slot of the cold target that had come in its place.

Change: a replaced target isn't due.

Test: TestReplacedTargetIsNotCheckedAgain failed before.

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// A suspect target whose address another target answers must not be checked again.
+func TestReplacedTargetIsNotCheckedAgain(t *testing.T) {
+	s := newFakeTarget(t, "t1", "one")
+	f := newTestServer(t, testTable(), s.entry())
+	b := f.fleet.byID["t1"]
+	b.suspect = true
+	if due := f.fleet.dueChecks(time.Now()); len(due) != 1 {
+		t.Fatalf("%d checks due, want 1", len(due))
+	}
+	f.fleet.recordHealth(b, &health{reached: true, healthy: true, id: "t2"}, time.Now())
+	if due := f.fleet.dueChecks(time.Now().Add(time.Hour)); len(due) != 0 {
+		t.Errorf("%d checks due after another target answered", len(due))
+	}
+}
+
 // A target that may have restarted must get no request before a health check shows
 // that it is warm, even if it kept its ID and the list shows no change.
 func TestRestartedTargetIsCheckedFirst(t *testing.T) {
--- a/forward/health.go
+++ b/forward/health.go
@@ -67,13 +67,14 @@
 }
 
 // dueChecks returns the suspect targets whose health check is due and marks them as
-// being checked.
+// being checked. One whose address another target uses stays out of use until the list
+// names it anew, so that no check can help.
 func (f *fleet) dueChecks(now time.Time) []*backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*backend
 	for _, b := range f.byID {
-		if !b.suspect || b.checking || b.target.Draining || b.nextCheckAt.After(now) {
+		if !b.suspect || b.replaced || b.checking || b.target.Draining || b.nextCheckAt.After(now) {
 			continue
 		}
 		b.checking = true
