Hold requests after a pause, and end a stopped gateway within its grace time

Cause: a gateway that was paused for seconds forwarded its next requests by a view as old as the pause, for instance to a data centre that was taken out meanwhile.

Ruled out: refusing without a valid lease, which would stop service whenever control is away.

Change: a process that notes a gap of a second holds requests until control confirms its view, 0.4 s at most, and says so in a line of the log. At its end a gateway waits 0.15 s for background work, and it leaves 0.5 s of the grace time.

Test: TestRequestsAfterAPauseWaitForConfirmation, TestPlannedStopCutsNoRequest (requests under load over a stop on the gateways' path, twice with the race detector), TestWaitAtMost.

--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -22,6 +22,7 @@
 	msgAnswered     = "request answered"
 	msgRefused      = "request refused"
 	msgGivenUp      = "request given up"
+	msgResumed      = "request held after a pause"
 	msgSuppressed   = "request lines left out"
 )
 
--- a/forward/server.go
+++ b/forward/server.go
@@ -35,6 +35,9 @@
 	// Decode parses a route document.
 	Decode func(body []byte) (*route.Table, error)
 	Budget BudgetLimits
+	// Confirmed reports whether control confirmed the board's view recently. If nil,
+	// requests never wait for that.
+	Confirmed func(now time.Time) bool
 	// ListLag is how far the platform's target list may lag behind.
 	ListLag time.Duration
 	// LinkBitsPerSecond is the rate of the VM's link, 0 if unknown.
@@ -61,6 +64,7 @@
 	checker      *healthChecker
 	requestLog   *requestLogger
 	workers      *workers
+	resume       *resumeGate
 	// responseMemory bounds the bodies of the responses that are being read.
 	responseMemory *response.Memory
 	table          atomic.Pointer[route.Table]
@@ -79,6 +83,7 @@
 		cfg: c, fleet: newFleet(c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
 	}
+	s.resume = newResumeGate(c.Confirmed, time.Now())
 	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
 	s.checker = &healthChecker{fleet: s.fleet, headers: &s.cfg.Headers, log: c.Log}
 	return s
@@ -103,6 +108,7 @@
 	defer s.workers.close()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.checker.run(ctx) })
+	wg.Go(func() { s.resume.run(ctx) })
 	wg.Go(func() { s.trimLoop(ctx) })
 	wg.Go(func() { s.outlierLoop(ctx) })
 	for ctx.Err() == nil {
@@ -185,6 +191,9 @@
 	if s.noKeepAlives.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.resume.wait(r.Context()) {
+		s.cfg.Log.Info(msgResumed, "request", r.Header.Get(s.cfg.Headers.RequestID), "after", time.Since(received))
+	}
 	req, refusal := s.parse(r, received)
 	if refusal != nil {
 		s.refuse(w, r, req, refusal)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,9 @@
 	balancerLag = 2400 * time.Millisecond
 	// shutdownMargin is the part of the grace time reserved for the end of the
 	// process.
-	shutdownMargin = 300 * time.Millisecond
+	shutdownMargin = 500 * time.Millisecond
+	// exitWait bounds the wait for background work at the end of the process.
+	exitWait = 150 * time.Millisecond
 	// headerTimeout bounds the time that a caller takes to send a request's
 	// headers. A route table may shorten it.
 	headerTimeout = 5 * time.Second
@@ -133,6 +135,7 @@
 		Budget: forward.BudgetLimits{
 			Ratio: c.Settings.Budget.Ratio, Slack: c.Settings.Budget.Slack, Window: c.Settings.Budget.Window,
 		},
+		Confirmed:           g.lease.Valid,
 		ListLag:             c.Settings.TargetList.Lag,
 		LinkBitsPerSecond:   c.Settings.LinkMbps * bitsPerMegabit,
 		ResponseMemoryBytes: int64(c.Settings.MemoryMB) << 20 / responseMemoryDivisor,
@@ -161,8 +164,10 @@
 	g.log.Info("starts", "vm", s.VM.Name, "data_centre", s.VM.DataCentre, "callers", s.VM.HTTP, "control", s.Control)
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer stop()
+	defer func() {
+		stop()
+		waitAtMost(&wg, exitWait)
+	}()
 	wg.Go(func() { g.follow(base) })
 	wg.Go(func() { g.source().Run(base) })
 	wg.Go(func() { g.server.Run(base) })
@@ -190,6 +195,20 @@
 	return g.shutdown(front)
 }
 
+// waitAtMost waits for wg, but no longer than d, since nothing depends on how its
+// goroutines end.
+func waitAtMost(wg *sync.WaitGroup, d time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(d):
+	}
+}
+
 // shutdown fails the readiness check, waits until the balancer has taken the
 // gateway out, and then finishes the requests in progress within the grace time.
 func (g *Gateway) shutdown(front *http.Server) error {
