Keep an assigned share of the connections to targets

Ruled out: higher thresholds, which keep the step and hold the limits by luck.

A gateway opens its share before the first request and again while it is used, and closes other connections after a second.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -79,9 +79,14 @@
 	// connLimitedUntil is the time until which the target is assumed to refuse new
 	// connections.
 	connLimitedUntil time.Time
-	// connsScarce means that the routers need more connections than the target can
-	// readily accept, so that each router keeps to few targets.
-	connsScarce bool
+	// connsScarce means that not every router can keep a connection to every target
+	// of the service. keepsConnection means that this router keeps one to this target.
+	connsScarce     bool
+	keepsConnection bool
+	// neededAt is when the kept connection was assigned or the target last chosen.
+	neededAt time.Time
+	// openAt is the earliest time at which a missing kept connection is opened.
+	openAt time.Time
 	// replaced means that another target answered at the address.
 	replaced bool
 }
--- /dev/null
+++ b/forward/connections.go
@@ -0,0 +1,181 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/peridotmux/peridotmux/affinity"
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/route"
+)
+
+const (
+	// usableConnectionShare is the fraction of a target's connection limit that all
+	// routers together use.
+	usableConnectionShare = 0.9
+	// minConnections is the number of connections that a router may open to a
+	// target in any case.
+	minConnections = 2
+	// unkeptIdleTimeout is how long a connection may be idle to a target that this
+	// router keeps none to. It is short because other routers need the target's
+	// connections.
+	unkeptIdleTimeout = time.Second
+	// extraIdleTimeout is how long connections to a target other than the last one
+	// may be idle. It is short because after a power loss a target counts its old
+	// connections for a while.
+	extraIdleTimeout = time.Second
+	// trimInterval is the time between two trims of idle connections.
+	trimInterval = 250 * time.Millisecond
+	// assignInterval is the minimum time between two assignments of connections.
+	assignInterval = time.Second
+	// opensPerTrim is the number of kept connections that are opened at each trim. It
+	// spreads those of a restarted router over seconds.
+	opensPerTrim = 8
+	// reopenWindow is how long after a target's last request, or after its connection
+	// was assigned, a kept connection that the target closed is opened again.
+	reopenWindow = 30 * time.Second
+	// reopenInterval is the minimum time between two attempts to open a kept
+	// connection, and its random part.
+	reopenInterval = 2 * time.Second
+)
+
+// gatewaysOf returns the routers in a view, with this one.
+func (f *fleet) gatewaysOf(v *board.View) []affinity.Gateway {
+	out := make([]affinity.Gateway, 0, len(v.Routers)+1)
+	for name, r := range v.Routers {
+		out = append(out, affinity.Gateway{Name: name, DataCentre: r.VM.DataCentre})
+	}
+	if _, known := v.Routers[f.vm]; !known {
+		out = append(out, affinity.Gateway{Name: f.vm, DataCentre: f.dataCentre})
+	}
+	return out
+}
+
+// limitConnections divides each target's connections among the routers. f.mu must
+// be held.
+func (f *fleet) limitConnections() {
+	if f.table == nil {
+		return
+	}
+	for name, backends := range f.byService {
+		s, ok := f.table.Services[name]
+		if !ok {
+			continue
+		}
+		perRouter := int(usableConnectionShare * float64(s.MaxConnections) / float64(f.routers))
+		for _, b := range backends {
+			b.pool.SetMaxConnections(max(perRouter, minConnections))
+		}
+	}
+}
+
+// assignConnections decides which targets this router keeps a connection to. f.mu
+// must be held.
+func (f *fleet) assignConnections(now time.Time) {
+	if f.table == nil || !f.assignmentStale || now.Sub(f.assignedAt) < assignInterval {
+		return
+	}
+	f.assignedAt, f.assignmentStale = now, false
+	self := -1
+	for i, g := range f.gateways {
+		if g.Name == f.vm {
+			self = i
+		}
+	}
+	for name := range f.byService {
+		f.assignService(name, self, now)
+	}
+}
+
+// assignService applies the assignment of one service. Targets that are leaving or
+// whose data centre is quiet take no part in it. self is this router's index in
+// f.gateways. f.mu must be held.
+func (f *fleet) assignService(name route.ServiceName, self int, now time.Time) {
+	s, ok := f.table.Services[name]
+	if !ok {
+		return
+	}
+	var members []*backend
+	var targets []affinity.Target
+	kept := make(map[*backend]bool)
+	for _, b := range f.byService[name] {
+		kept[b] = b.keepsConnection
+		b.keepsConnection = false
+		_, quiet := f.quiet[b.target.DataCentre]
+		if b.target.Draining || quiet {
+			continue
+		}
+		members = append(members, b)
+		targets = append(targets, affinity.Target{ID: b.id, DataCentre: b.target.DataCentre, MaxConnections: s.MaxConnections})
+	}
+	a := affinity.Assign(name, f.gateways, targets)
+	for _, b := range f.byService[name] {
+		b.connsScarce = a.Scarce
+	}
+	for _, t := range a.Kept[self] {
+		b := members[t]
+		b.keepsConnection = true
+		if !kept[b] {
+			b.neededAt = now
+		}
+	}
+}
+
+// trim closes connections that have been idle for too long, and returns the targets
+// to which a kept connection is missing and may be opened now.
+func (f *fleet) trim(now time.Time) []*backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.assignConnections(now)
+	for _, backends := range f.byService {
+		for _, b := range backends {
+			last := time.Time{}
+			if b.connsScarce && !b.keepsConnection {
+				last = now.Add(-unkeptIdleTimeout)
+			}
+			b.pool.Trim(now.Add(-extraIdleTimeout), last)
+		}
+	}
+	return f.missingConnections(now)
+}
+
+// missingConnections returns at most opensPerTrim targets of gathered routes to which
+// a kept connection is missing. f.mu must be held.
+func (f *fleet) missingConnections(now time.Time) []*backend {
+	if f.table == nil {
+		return nil
+	}
+	var out []*backend
+	for _, r := range f.table.Routes {
+		if r.Gather == nil {
+			continue
+		}
+		for _, name := range r.Gather.Shards {
+			for _, b := range f.byService[name] {
+				if len(out) == opensPerTrim {
+					return out
+				}
+				if b.connectionMissing(now) && f.usable(b, now) {
+					b.openAt = now.Add(reopenInterval + rand.N(reopenInterval))
+					out = append(out, b)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// connectionMissing reports whether a kept connection may be opened now. Where
+// connections aren't scarce, the first request opens one.
+func (b *backend) connectionMissing(now time.Time) bool {
+	return b.connsScarce && b.keepsConnection && b.pool.NumOpen() == 0 &&
+		now.Sub(b.neededAt) < reopenWindow && !b.openAt.After(now) && !b.connLimitedUntil.After(now)
+}
+
+// openConnection opens a kept connection to b.
+func (s *Server) openConnection(ctx context.Context, b *backend) {
+	if err := b.pool.Open(ctx); err != nil {
+		s.cfg.Log.Debug("kept connection not opened", "target", string(b.id), "service", string(b.service), "error", err)
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -24,7 +24,7 @@
 	partLimitFactor = 8
 	// maxResponseHeadBytes bounds the status line and headers of a target's
 	// response.
-	maxResponseHeadBytes = 64 << 10
+	maxResponseHeadBytes = 16 << 10
 	// asyncBodyBytes is the size of a request's body above which it is written
 	// concurrently, since the response may come before the body is written.
 	asyncBodyBytes = 4 << 10
@@ -302,8 +302,10 @@
 	return out
 }
 
-// applyKeepAlive sets when the connection expires from the Keep-Alive header.
+// applyKeepAlive sets when the connection expires from the Keep-Alive header of the
+// response that it carried.
 func applyKeepAlive(c *connpool.Conn, resp *http.Response) {
+	c.SetAnswered()
 	for _, part := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
 		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !ok {
@@ -311,7 +313,7 @@
 		}
 		seconds, err := strconv.Atoi(text)
 		if err == nil && seconds > 0 {
-			c.SetIdleExpiry(time.Now().Add(time.Duration(seconds)*time.Second - keepAliveMargin))
+			c.SetIdleTimeout(time.Duration(seconds)*time.Second - keepAliveMargin)
 		}
 	}
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/peridotmux/peridotmux/affinity"
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/discovery"
 	"github.com/peridotmux/peridotmux/internal/connpool"
@@ -18,30 +19,6 @@
 const (
 	// connectTimeout bounds the time to connect to a target.
 	connectTimeout = 250 * time.Millisecond
-	// usableConnectionShare is the fraction of a target's connection limit that all
-	// routers together use.
-	usableConnectionShare = 0.9
-	// scarceThreshold is the fraction of a target's connection limit up to which
-	// every router may keep a connection. It is low because after a power loss a
-	// target counts its old connections as well as the new ones.
-	scarceThreshold = 0.4
-	// minConnections is the number of connections that a router may open to a
-	// target in any case.
-	minConnections = 2
-	// scarceIdleTimeout is how long the only connection to a target may be idle if
-	// connections are scarce. shortageIdleTimeout applies if they are short, that
-	// is, if the remaining targets can't accept a connection from every router.
-	scarceIdleTimeout   = 6 * time.Second
-	shortageIdleTimeout = 300 * time.Millisecond
-	// shortageThreshold is the fraction of a service's total connection limit above
-	// which connections are short.
-	shortageThreshold = 0.5
-	// extraIdleTimeout is how long connections to a target other than the last one
-	// may be idle. It is short because after a power loss a target counts its old
-	// connections for a while.
-	extraIdleTimeout = time.Second
-	// trimInterval is the time between two trims of idle connections.
-	trimInterval = 250 * time.Millisecond
 	// costJitter is the random part of a cost, as a fraction of the median service
 	// time, so that routers don't all choose the same target at equal costs.
 	costJitter = 0.05
@@ -49,6 +26,7 @@
 
 // fleet holds this router's state of all targets. It is safe for concurrent use.
 type fleet struct {
+	vm         topology.VMName
 	dataCentre topology.DataCentre
 	dialer     net.Dialer
 
@@ -63,16 +41,22 @@
 	listRequestedAt time.Time
 	// routers is the number of routers that share the targets, at least 1.
 	routers int
-	table   *route.Table
+	// gateways are the routers in control's records, with this one.
+	gateways []affinity.Gateway
+	// assignedAt is when kept connections were last assigned; assignmentStale means
+	// that the targets, the routers or the routes may have changed since.
+	assignedAt      time.Time
+	assignmentStale bool
+	table           *route.Table
 	// listLag is how far the platform's list may lag behind.
 	listLag time.Duration
 	// collector gathers this router's observations for the other routers.
 	collector *outlier.Collector
 }
 
-func newFleet(dc topology.DataCentre, listLag time.Duration, collector *outlier.Collector) *fleet {
+func newFleet(vm topology.VMName, dc topology.DataCentre, listLag time.Duration, collector *outlier.Collector) *fleet {
 	return &fleet{
-		dataCentre: dc, listLag: listLag, collector: collector,
+		vm: vm, dataCentre: dc, listLag: listLag, collector: collector,
 		byID:       make(map[discovery.TargetID]*backend),
 		returnedAt: make(map[topology.DataCentre]time.Time),
 		routers:    1,
@@ -90,6 +74,8 @@
 	}
 	f.quiet, f.listRequestedAt, f.table = v.QuietDCs, l.RequestedAt, table
 	f.routers = max(len(v.Routers), 1)
+	f.gateways = f.gatewaysOf(v)
+	f.assignmentStale = true
 	f.applyList(l)
 	f.limitConnections()
 }
@@ -117,26 +103,6 @@
 	}
 }
 
-// limitConnections divides each target's connections among the routers. f.mu must
-// be held.
-func (f *fleet) limitConnections() {
-	if f.table == nil {
-		return
-	}
-	for name, backends := range f.byService {
-		s, ok := f.table.Services[name]
-		if !ok {
-			continue
-		}
-		perRouter := int(usableConnectionShare * float64(s.MaxConnections) / float64(f.routers))
-		scarce := scarceThreshold*float64(s.MaxConnections) < float64(f.routers)
-		for _, b := range backends {
-			b.connsScarce = scarce
-			b.pool.SetMaxConnections(max(perRouter, minConnections))
-		}
-	}
-}
-
 // usable reports whether a target may get requests now. The targets of a data
 // centre that was brought back are usable once the list is recent enough to show
 // their state after the return.
@@ -192,6 +158,7 @@
 		best.backend.probeAt = now.Add(f.probeInterval())
 	}
 	best.backend.inFlight[best] = now
+	best.backend.neededAt = now
 	return best
 }
 
@@ -225,40 +192,6 @@
 	f.collector.Add(sel.backend.incarnation(), sel.outlierCounts(o))
 }
 
-// trim closes connections that have been idle for too long.
-func (f *fleet) trim(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, backends := range f.byService {
-		last := f.lastIdleTimeout(name, backends, now)
-		for _, b := range backends {
-			limit := time.Time{}
-			if b.connsScarce {
-				limit = now.Add(-last)
-			}
-			b.pool.Trim(now.Add(-extraIdleTimeout), limit)
-		}
-	}
-}
-
-// lastIdleTimeout returns how long the only connection to a target of a service may
-// be idle if connections are scarce. f.mu must be held.
-func (f *fleet) lastIdleTimeout(name route.ServiceName, backends []*backend, now time.Time) time.Duration {
-	if f.table == nil {
-		return scarceIdleTimeout
-	}
-	usable := 0
-	for _, b := range backends {
-		if f.usable(b, now) {
-			usable++
-		}
-	}
-	if shortageThreshold*float64(f.table.Services[name].MaxConnections*usable) < float64(f.routers) {
-		return shortageIdleTimeout
-	}
-	return scarceIdleTimeout
-}
-
 // countUsable returns the number of services that have a usable target.
 func (f *fleet) countUsable(services []route.ServiceName, now time.Time) int {
 	f.mu.Lock()
--- a/forward/server.go
+++ b/forward/server.go
@@ -28,7 +28,9 @@
 
 // Config configures a Server.
 type Config struct {
-	Headers    HeaderNames
+	Headers HeaderNames
+	// VM is this router's name in control's records.
+	VM         topology.VMName
 	DataCentre topology.DataCentre
 	Board      *board.Board
 	Inventory  *discovery.Inventory
@@ -80,7 +82,7 @@
 		c.Outliers, c.Collector = outlier.NewView(), outlier.NewCollector()
 	}
 	s := &Server{
-		cfg: c, fleet: newFleet(c.DataCentre, c.ListLag, c.Collector),
+		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
 	}
 	s.resume = newResumeGate(c.Confirmed, time.Now())
@@ -132,7 +134,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			s.fleet.trim(now)
+			for _, b := range s.fleet.trim(now) {
+				go s.openConnection(ctx, b)
+			}
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 	}
 	g.server = forward.New(forward.Config{
 		Headers:    c.Headers,
+		VM:         c.Settings.VM.Name,
 		DataCentre: c.Settings.VM.DataCentre,
 		Board:      g.board,
 		Inventory:  g.inventory,
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -57,6 +57,9 @@
 	// open counts idle and in-use connections and dials in progress.
 	open   int
 	closed bool
+	// idleTimeout is the time after which the target closes idle connections, 0 if
+	// unknown.
+	idleTimeout time.Duration
 	// checkedAt is when Trim last checked the idle connections.
 	checkedAt time.Time
 	// suspected is set while the target may have restarted: it closed a
@@ -87,6 +90,8 @@
 	idleExpiry time.Time
 	// idleSince is when the connection was put back.
 	idleSince time.Time
+	// answered means that the connection carried a response.
+	answered bool
 }
 
 // New returns a pool without connections for the target at addr.
@@ -144,7 +149,7 @@
 			c.Reused = true
 			return c, nil
 		}
-		if !c.idleExpired() {
+		if c.closingSuspicious() {
 			p.SetRestartSuspected(true)
 		}
 		c.Close()
@@ -198,6 +203,22 @@
 	return c, nil
 }
 
+// Open opens a connection and keeps it idle. The error is that of the dial, or a
+// *ConnectionLimitError.
+func (p *Pool) Open(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if p.idleTimeout > 0 {
+		c.idleExpiry = time.Now().Add(p.idleTimeout)
+	}
+	p.mu.Unlock()
+	c.Put()
+	return nil
+}
+
 // reserve counts a connection as open unless the maximum is reached.
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
@@ -251,8 +272,8 @@
 		if i == len(p.idle)-1 {
 			cutoff = lastIdleBefore
 		}
-		dead := check && !c.alive()
-		if dead && !c.idleExpired() {
+		dead := c.idleExpired() || check && !c.alive()
+		if dead && c.closingSuspicious() {
 			p.suspected = true
 		}
 		if dead || c.idleSince.Before(cutoff) {
@@ -324,12 +345,26 @@
 	return err == nil && open
 }
 
+// closingSuspicious reports whether the closing of this idle connection is a sign
+// that the target restarted. It isn't after the time that the target announced, nor
+// before a first response, when that time is unknown.
+func (c *Conn) closingSuspicious() bool { return c.answered && !c.idleExpired() }
+
 func (c *Conn) idleExpired() bool { return !c.idleExpiry.IsZero() && time.Now().After(c.idleExpiry) }
 
-// SetIdleExpiry sets when the target closes the connection if it stays idle. An
-// idle connection past that time is not reused, and its closing does not count
-// as a sign of a restart.
-func (c *Conn) SetIdleExpiry(at time.Time) { c.idleExpiry = at }
+// SetIdleTimeout sets after which time the target closes the connection if it
+// stays idle from now on. An idle connection past that time is not reused, and its
+// closing does not count as a sign of a restart. The time applies to connections
+// that Open opens from now on, too.
+func (c *Conn) SetIdleTimeout(d time.Duration) {
+	c.idleExpiry = time.Now().Add(d)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.idleTimeout = d
+}
+
+// SetAnswered records that the connection carried a response.
+func (c *Conn) SetAnswered() { c.answered = true }
 
 // KeepRequestBuffer keeps b as the buffer for the connection's next request,
 // unless its capacity is above maxKeptBufferSize.
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -107,6 +107,7 @@
 	a.conn = c
 	stop := context.AfterFunc(ctx, func() { a.cancelWaiting(ctx) })
 	out, reusable := readAnswer(c, a)
+	c.SetAnswered()
 	stop()
 	a.detachConn()
 	switch {
--- a/target/health.go
+++ b/target/health.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.SetAnswered()
 	if resp.StatusCode != http.StatusOK {
 		return nil, &StatusError{Status: resp.StatusCode}
 	}
