--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -134,20 +134,20 @@
 // them: first to the gateways that find one in their own data centre. It returns false
 // if none may.
 func (d *deal) dealRound(round int, kept [][]int) bool {
-	any := false
+	dealt := false
 	for _, local := range []bool{true, false} {
 		for _, g := range d.order {
 			if len(kept[g]) > round || !d.mayKeep(g, round) {
 				continue
 			}
-			any = true
+			dealt = true
 			if t := d.choose(g, kept[g], local); t >= 0 {
 				d.room[t]--
 				kept[g] = append(kept[g], t)
 			}
 		}
 	}
-	return any && round < len(d.targets)
+	return dealt && round < len(d.targets)
 }
 
 // mayKeep reports whether gateway g may keep more than n targets. The fraction of the
--- a/owner/ramp_test.go
+++ b/owner/ramp_test.go
@@ -132,10 +132,9 @@
 func TestRampCountsTheTargetsOwnWork(t *testing.T) {
 	const own = 20 * time.Millisecond
 	r := NewRamp(limits).Step(Served{Process: 1, Service: own, Work: own})
-	carried := limits.ColdLimit
 	for done := own; done < limits.WarmAfter; done += own {
 		r = r.Step(Served{Process: 1, Service: 3 * own, Work: own})
-		carried = limits.ColdLimit + int(float64(done)/float64(limits.WarmAfter)*float64(limits.Slots-limits.ColdLimit))
+		carried := limits.ColdLimit + int(float64(done)/float64(limits.WarmAfter)*float64(limits.Slots-limits.ColdLimit))
 		if r.Limit() > carried {
 			t.Fatalf("limit %d after %v of work, the target carries %d", r.Limit(), done, carried)
 		}
