Deal connections out only where they are short, and none to crowded targets

Change: connections are dealt out where the gateways exceed 0.45 of all connections of a service's listed targets, half of the limits, and a target that reset a connection over its limit keeps no idle ones for 5 s.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -22,8 +22,9 @@
 const (
 	// limitShare is the fraction of a target's connection limit that gateways keep
 	// connections for. The rest is for those opened on demand, for gateways with an
-	// older view, and for connections of lost gateways that the target still counts.
-	limitShare = 0.75
+	// older view, and for connections of lost gateways that the target still counts. A
+	// target that has a long queue accepts fewer connections.
+	limitShare = 0.5
 	// balanceSlack is how far the kept connections of a target may exceed the mean of
 	// its service, as a fraction.
 	balanceSlack = 0.1
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -79,9 +79,13 @@
 	// connLimitedUntil is the time until which the target is assumed to refuse new
 	// connections.
 	connLimitedUntil time.Time
-	// connsScarce means that not every router can keep a connection to every target
-	// of the service. keepsConnection means that this router keeps one to this target.
+	// crowdedAt is when the target last reset a connection above its limit.
+	crowdedAt time.Time
+	// connsScarce means that the routers need more connections than the service's
+	// targets can readily accept, connsDealt that therefore each router keeps
+	// connections by assignment, and keepsConnection that it keeps one to this target.
 	connsScarce     bool
+	connsDealt      bool
 	keepsConnection bool
 	// neededAt is when the kept connection was assigned or the target last chosen.
 	neededAt time.Time
@@ -223,7 +227,7 @@
 	case o.WrongTarget:
 		b.replaced = true
 	case o.OverConnectionLimit:
-		b.connLimitedUntil = now.Add(connLimitBackoff)
+		b.connLimitedUntil, b.crowdedAt = now.Add(connLimitBackoff), now
 	case o.ConnectFailed, o.ConnectionLost, b.pool.RestartSuspected():
 		b.suspect = true
 		b.pool.CloseIdle()
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -17,10 +17,24 @@
 	// minConnections is the number of connections that a router may open to a
 	// target in any case.
 	minConnections = 2
-	// unkeptIdleTimeout is how long a connection may be idle to a target that this
+	// dealThreshold is the fraction of a service's total connection limit above which
+	// the routers keep connections by assignment.
+	dealThreshold = 0.45
+	// unkeptIdleTimeout is how long a connection may then be idle to a target that this
 	// router keeps none to. It is short because other routers need the target's
 	// connections.
 	unkeptIdleTimeout = time.Second
+	// crowdedTime is how long a target counts as crowded after it reset a connection
+	// above its limit, and crowdedIdleTimeout how long connections to it may be idle.
+	crowdedTime        = 5 * time.Second
+	crowdedIdleTimeout = 300 * time.Millisecond
+	// scarceThreshold is the fraction of a target's connection limit up to which every
+	// router may keep a connection for as long as it likes. It is low because after a
+	// power loss a target counts its old connections as well as the new ones.
+	scarceThreshold = 0.4
+	// scarceIdleTimeout is how long the last connection to a target may be idle between
+	// the two thresholds.
+	scarceIdleTimeout = 6 * time.Second
 	// extraIdleTimeout is how long connections to a target other than the last one
 	// may be idle. It is short because after a power loss a target counts its old
 	// connections for a while.
@@ -34,7 +48,7 @@
 	opensPerTrim = 8
 	// reopenWindow is how long after a target's last request, or after its connection
 	// was assigned, a kept connection that the target closed is opened again.
-	reopenWindow = 30 * time.Second
+	reopenWindow = 12 * time.Second
 	// reopenInterval is the minimum time between two attempts to open a kept
 	// connection, and its random part.
 	reopenInterval = 2 * time.Second
@@ -109,11 +123,15 @@
 		members = append(members, b)
 		targets = append(targets, affinity.Target{ID: b.id, DataCentre: b.target.DataCentre, MaxConnections: s.MaxConnections})
 	}
-	a := affinity.Assign(name, f.gateways, targets)
+	dealt := dealThreshold*float64(s.MaxConnections*len(f.byService[name])) < float64(len(f.gateways))
 	for _, b := range f.byService[name] {
-		b.connsScarce = a.Scarce
+		b.connsDealt = dealt
+		b.connsScarce = dealt || scarceThreshold*float64(s.MaxConnections) < float64(len(f.gateways))
 	}
-	for _, t := range a.Kept[self] {
+	if !dealt {
+		return
+	}
+	for _, t := range affinity.Assign(name, f.gateways, targets).Kept[self] {
 		b := members[t]
 		b.keepsConnection = true
 		if !kept[b] {
@@ -130,16 +148,27 @@
 	f.assignConnections(now)
 	for _, backends := range f.byService {
 		for _, b := range backends {
-			last := time.Time{}
-			if b.connsScarce && !b.keepsConnection {
-				last = now.Add(-unkeptIdleTimeout)
-			}
-			b.pool.Trim(now.Add(-extraIdleTimeout), last)
+			b.pool.Trim(now.Add(-extraIdleTimeout), b.idleSinceLimit(now))
 		}
 	}
 	return f.missingConnections(now)
 }
 
+// idleSinceLimit returns the time since when the last connection to b may have been
+// idle at most, zero for no limit.
+func (b *backend) idleSinceLimit(now time.Time) time.Time {
+	switch {
+	case b.connsScarce && b.crowded(now):
+		return now.Add(-crowdedIdleTimeout)
+	case b.connsDealt && !b.keepsConnection:
+		return now.Add(-unkeptIdleTimeout)
+	case b.connsScarce && !b.connsDealt:
+		return now.Add(-scarceIdleTimeout)
+	default:
+		return time.Time{}
+	}
+}
+
 // missingConnections returns at most opensPerTrim targets of gathered routes to which
 // a kept connection is missing. f.mu must be held.
 func (f *fleet) missingConnections(now time.Time) []*backend {
@@ -167,12 +196,17 @@
 }
 
 // connectionMissing reports whether a kept connection may be opened now. Where
-// connections aren't scarce, the first request opens one.
+// connections aren't dealt out, the first request opens one.
 func (b *backend) connectionMissing(now time.Time) bool {
-	return b.connsScarce && b.keepsConnection && b.pool.NumOpen() == 0 &&
-		now.Sub(b.neededAt) < reopenWindow && !b.openAt.After(now) && !b.connLimitedUntil.After(now)
+	return b.connsDealt && b.keepsConnection && b.pool.NumOpen() == 0 &&
+		now.Sub(b.neededAt) < reopenWindow && !b.openAt.After(now) && !b.crowded(now)
 }
 
+// crowded reports whether the target recently reset a connection above its limit,
+// which is lower while it has a long queue. An idle connection then keeps out one that
+// has a request to carry.
+func (b *backend) crowded(now time.Time) bool { return now.Sub(b.crowdedAt) < crowdedTime }
+
 // openConnection opens a kept connection to b.
 func (s *Server) openConnection(ctx context.Context, b *backend) {
 	if err := b.pool.Open(ctx); err != nil {
