Send short lines of endless responses in blocks

The stand-in wrote 13 bytes a call from 50 goroutines, and so took the processor from the gateway under test.

Change: a line is repeated to about 8 KiB a call; the bytes are the same, and so is the test's bound.

--- a/internal/endless/endless.go
+++ b/internal/endless/endless.go
@@ -62,6 +62,10 @@
 	}
 }
 
+// repeat returns about blockBytes of a short line, so that sending them takes few
+// calls.
+func repeat(line string) string { return strings.Repeat(line, blockBytes/len(line)) }
+
 func (f Form) script(header, body string) script {
 	ok := "HTTP/1.1 200 OK\r\n" + header
 	filler := strings.Repeat("x", blockBytes)
@@ -71,17 +75,17 @@
 	case HeaderLine:
 		return script{start: ok + "Long: ", block: filler}
 	case Headers:
-		return script{start: ok, block: "Name: value\r\n"}
+		return script{start: ok, block: repeat("Name: value\r\n")}
 	case Informational:
-		return script{start: "", block: "HTTP/1.1 103 Early Hints\r\n\r\n"}
+		return script{start: "", block: repeat("HTTP/1.1 103 Early Hints\r\n\r\n")}
 	case Garbage:
-		return script{start: "", block: "\x00\xff\x16\x03no response\n"}
+		return script{start: "", block: repeat("\x00\xff\x16\x03no response\n")}
 	case Body:
 		return script{start: ok + "\r\n", block: filler}
 	case Chunks:
 		return script{start: ok + "Transfer-Encoding: chunked\r\n\r\n", block: "2000\r\n" + filler + "\r\n"}
 	case Trailers:
-		return script{start: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", block: "Name: value\r\n"}
+		return script{start: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", block: repeat("Name: value\r\n")}
 	case SlowHead:
 		return script{start: ok + "Long: ", block: "x", pause: slowInterval}
 	case SlowBody:
