Never send a non-idempotent request again once it may have run

When the withdrawn attempt ended, nothing else was in flight, and its 'not run' was taken as leave to retry. The rule that a withdrawn target may be used again made this likelier; with a third target it happened before, too.

Ruled out: the request's own hedge, which isn't sent once an attempt may have arrived.

Change: no attempt of a non-idempotent request starts while another one ran or may still run, whatever led to it.

Test: TestWithdrawnAttemptCausesNoSecondRun, with two and with three targets: 2 runs and status 200 before, 1 run and 502 now.

--- a/forward/call.go
+++ b/forward/call.go
@@ -119,9 +119,12 @@
 	c.hedged = c.hedged || extra && started
 }
 
-// start sends the request to another target. It returns false if there is none or
-// if the budget denies another arrival.
+// start sends the request to another target. It returns false if there is none, if
+// the budget denies another arrival, or if a request that isn't idempotent may have run.
 func (c *call) start(ctx context.Context, shard int, results chan<- *result, level urgency, hedge bool) bool {
+	if c.req.route.Kind != route.Idempotent && c.possibleRuns() > 0 {
+		return false
+	}
 	now := time.Now()
 	first := c.arrivals() == 0
 	sel := c.server.fleet.choose(&criteria{
