--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,6 +24,8 @@
 	MaxClockDrift = 30 * time.Millisecond
 	// suspensionTolerance is the suspended time that MaxClockDrift covers.
 	suspensionTolerance = 10 * time.Millisecond
+	// unknownSuspension marks that the suspended time wasn't read yet.
+	unknownSuspension = time.Duration(-1 << 62)
 )
 
 // Lease is a router's current lease. Its zero value has expired. It is safe for
@@ -32,8 +34,9 @@
 	// end is when the lease expires, in nanoseconds since base.
 	end  atomic.Int64
 	base time.Time
-	// suspended returns the total time that the VM was suspended, nil if unknown.
-	suspended func() time.Duration
+	// suspended returns the total time that the VM was suspended, false if it can't tell
+	// now. It is nil if there is no way to tell.
+	suspended func() (time.Duration, bool)
 	// seenSuspended is the suspended time that the lease accounts for, and resumedAt
 	// the time since base at which the last suspension was noticed, in nanoseconds.
 	seenSuspended atomic.Int64
@@ -43,9 +46,13 @@
 // New returns an expired lease.
 func New(now time.Time) *Lease { return newLease(now, suspendedTime) }
 
-func newLease(now time.Time, suspended func() time.Duration) *Lease {
+func newLease(now time.Time, suspended func() (time.Duration, bool)) *Lease {
 	l := &Lease{base: now, suspended: suspended}
-	l.seenSuspended.Store(int64(suspended()))
+	total, ok := suspended()
+	if !ok {
+		total = unknownSuspension
+	}
+	l.seenSuspended.Store(int64(total))
 	return l
 }
 
@@ -55,8 +62,13 @@
 	if l.suspended == nil {
 		return
 	}
-	total, seen := int64(l.suspended()), l.seenSuspended.Load()
-	if total-seen <= int64(suspensionTolerance) {
+	suspended, ok := l.suspended()
+	total, seen := int64(suspended), l.seenSuspended.Load()
+	if !ok || total-seen <= int64(suspensionTolerance) {
+		return
+	}
+	if seen == int64(unknownSuspension) {
+		l.seenSuspended.CompareAndSwap(seen, total)
 		return
 	}
 	l.resumedAt.Store(int64(now.Sub(l.base)))
