Plant a second run in the soak by the number of requests checked

With twelve callers that number moves on between the request and its check, so in some runs no moment fitted.

Ruled out: the check itself; it reports each planted run.

Change: the soak plants a second run at every 20th check of a non-idempotent request.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,6 +21,9 @@
 	callerPause = 60 * time.Millisecond
 	// requestTimeLimit is sent with each request. The client times out 1 s later.
 	requestTimeLimit = 2 * time.Second
+	// plantedRunInterval is the number of non-idempotent requests from one planted
+	// second run to the next.
+	plantedRunInterval = 20
 )
 
 // requestCounts counts requests sent and their outcomes: served (200), refused
@@ -32,6 +35,8 @@
 	cluster    *cluster
 	counts     requestCounts
 	requestSeq atomic.Uint64
+	// onceChecks is the number of non-idempotent requests whose runs were checked.
+	onceChecks atomic.Uint64
 }
 
 func (l *callerLoad) run(ctx context.Context) {
@@ -160,7 +165,7 @@
 	if path != "/once/x" {
 		return
 	}
-	if l.cluster.cfg.Plant == "twice" && l.requestSeq.Load()%200 == 0 {
+	if l.onceChecks.Add(1)%plantedRunInterval == 0 && l.cluster.cfg.Plant == "twice" {
 		l.cluster.ledger.recordRun(id, "single", "planted")
 		l.cluster.ledger.recordRun(id, "single", "planted")
 	}
