--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -114,7 +114,7 @@
 	}
 	serviceHash := xxhash.Sum64String(string(service))
 	for i, g := range gateways {
-		d.gatewayHashes = append(d.gatewayHashes, mix(serviceHash, xxhash.Sum64String(string(g.Name))))
+		d.gatewayHashes = append(d.gatewayHashes, Mix(serviceHash, xxhash.Sum64String(string(g.Name))))
 		d.order = append(d.order, i)
 	}
 	slices.SortFunc(d.order, func(a, b int) int {
@@ -123,8 +123,8 @@
 	return d
 }
 
-// mix returns a well distributed hash of two hashes.
-func mix(a, b uint64) uint64 {
+// Mix returns a well distributed hash of two hashes.
+func Mix(a, b uint64) uint64 {
 	x := a ^ (b * 0x9e3779b97f4a7c15)
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
@@ -156,7 +156,7 @@
 // gateways that keep one target less, and not what all of them do.
 func (d *deal) mayKeep(g, n int) bool {
 	const hashRange = 1 << 53
-	fraction := float64(mix(d.gatewayHashes[g], 1)>>11) / hashRange
+	fraction := float64(Mix(d.gatewayHashes[g], 1)>>11) / hashRange
 	return float64(n)+fraction < d.quota
 }
 
@@ -168,7 +168,7 @@
 		if d.room[t] <= 0 || slices.Contains(kept, t) || local && d.targets[t].DataCentre != d.gateways[g].DataCentre {
 			continue
 		}
-		if w := mix(d.gatewayHashes[g], d.targetHashes[t]); best < 0 || w > bestWeight {
+		if w := Mix(d.gatewayHashes[g], d.targetHashes[t]); best < 0 || w > bestWeight {
 			best, bestWeight = t, w
 		}
 	}
--- a/cmd/peridotmux/explain.go
+++ b/cmd/peridotmux/explain.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"bufio"
-	"cmp"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -15,8 +12,8 @@
 )
 
 const (
-	// maxLogLine is the longest log line that is read, in bytes. Reading of a log
-	// stops at a longer line.
+	// maxLogLine is the longest log line that is read, in bytes. Longer ones are
+	// skipped.
 	maxLogLine = 1 << 20
 	// keyRequest is the log attribute that holds the request id.
 	keyRequest = "request"
@@ -38,12 +35,12 @@
 	commands[cmd.FullCommand()] = func() error { return c.run(os.Stdin, os.Stdout) }
 }
 
-// logLine is one JSON log line. source is the file that it comes from, "-" for
-// standard input.
+// logLine is one JSON log line of a process. The process is named by the file, and by
+// the last word before the JSON object if there is one.
 type logLine struct {
-	at     time.Time
-	source string
-	attrs  map[string]any
+	at      time.Time
+	process string
+	attrs   map[string]any
 }
 
 // text returns the attribute as text, "" if it is absent or null.
@@ -52,85 +49,83 @@
 	if !ok || v == nil {
 		return ""
 	}
+	if ns, isNumber := v.(float64); isNumber && slices.Contains(durationKeys, key) {
+		return time.Duration(ns).Round(10 * time.Microsecond).String()
+	}
 	return fmt.Sprint(v)
 }
 
+// after returns the time since the process received the request.
+func (l *logLine) after() time.Duration {
+	ns, _ := l.attrs["after"].(float64)
+	return time.Duration(ns)
+}
+
 func (c *explainCommand) run(in io.Reader, out io.Writer) error {
-	var lines []logLine
+	found := &logSearch{request: c.request}
 	if len(c.files) == 0 {
-		lines = readLines(in, "-", c.request)
+		found.read(in, "-")
 	}
 	for _, name := range c.files {
 		f, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		lines = append(lines, readLines(f, name, c.request)...)
+		found.read(f, name)
 		_ = f.Close() // Opened for reading only.
 	}
-	if len(lines) == 0 {
-		return &noLinesError{request: c.request}
+	if len(found.lines) == 0 {
+		return &noLinesError{request: c.request, skipped: found.skipped}
+	}
+	printTimeline(out, timeline(found.lines))
+	for _, text := range found.skipped {
+		_, _ = fmt.Fprintln(out, "skipped:", text)
 	}
-	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Or(a.at.Compare(b.at), compareAfter(a, b)) })
-	printTimeline(out, lines)
 	return nil
 }
 
-// compareAfter orders lines with equal timestamps by the time since the request's
-// start, in nanoseconds.
-func compareAfter(a, b logLine) int {
-	x, _ := a.attrs["after"].(float64)
-	y, _ := b.attrs["after"].(float64)
-	return cmp.Compare(x, y)
+// noLinesError reports that no log contains a line of the request. skipped says what
+// wasn't read.
+type noLinesError struct {
+	request string
+	skipped []string
 }
 
-// noLinesError reports that no log contains a line of the request.
-type noLinesError struct{ request string }
-
 // Error implements error.
 func (e *noLinesError) Error() string {
-	return "no line of request " + e.request + ": it wasn't sampled, was left out under load (see \"request lines left out\"), or went elsewhere"
-}
-
-// readLines returns the lines of one request. It skips lines without a valid JSON
-// object, such as truncated ones, and any prefix before the object.
-func readLines(r io.Reader, source, request string) []logLine {
-	var out []logLine
-	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, maxLogLine), maxLogLine)
-	for s.Scan() {
-		_, object, found := strings.Cut(s.Text(), "{")
-		if !found {
-			continue
-		}
-		var attrs map[string]any
-		if json.Unmarshal([]byte("{"+object), &attrs) != nil || attrs[keyRequest] != request {
-			continue
-		}
-		at, _ := time.Parse(time.RFC3339Nano, fmt.Sprint(attrs["time"])) // A line without a valid time sorts first.
-		out = append(out, logLine{at: at, source: source, attrs: attrs})
+	text := "no line of request " + e.request + ": it wasn't sampled, was left out under load (see \"request lines left out\"), or went elsewhere"
+	if len(e.skipped) > 0 {
+		text += "; skipped: " + strings.Join(e.skipped, ", ")
 	}
-	return out
+	return text
 }
 
 // hiddenKeys are attributes of every line. They are left out of the attribute list;
 // the message and the time since the start have columns of their own.
 var hiddenKeys = []string{"time", "level", "msg", "part", keyRequest, "after"}
 
-// printTimeline prints one row for each line, with the milliseconds since the
-// request's start, the message and the other attributes, and the cause at the end.
-func printTimeline(out io.Writer, lines []logLine) {
-	for _, l := range lines {
-		after, _ := l.attrs["after"].(float64)
-		_, _ = fmt.Fprintf(out, "%9.1f ms  %-22s", after/float64(time.Millisecond), l.text("msg"))
-		for _, key := range sortedKeys(l.attrs) {
-			if text := l.text(key); text != "" && !slices.Contains(hiddenKeys, key) {
+// printTimeline prints one row for each line, with the milliseconds since the first
+// process received the request, the process if there are several, the message and the
+// other attributes, and the cause at the end.
+func printTimeline(out io.Writer, events []event) {
+	several := false
+	for _, e := range events {
+		several = several || e.line.process != events[0].line.process
+	}
+	for _, e := range events {
+		_, _ = fmt.Fprintf(out, "%9.1f ms  ", float64(e.since)/float64(time.Millisecond))
+		if several {
+			_, _ = fmt.Fprintf(out, "%-16s ", e.line.process)
+		}
+		_, _ = fmt.Fprintf(out, "%-22s", e.line.text("msg"))
+		for _, key := range sortedKeys(e.line.attrs) {
+			if text := e.line.text(key); text != "" && !slices.Contains(hiddenKeys, key) {
 				_, _ = fmt.Fprintf(out, " %s=%s", key, text)
 			}
 		}
 		_, _ = fmt.Fprintln(out)
 	}
-	_, _ = fmt.Fprintln(out, "cause:", cause(lines))
+	_, _ = fmt.Fprintln(out, "cause:", cause(events))
 }
 
 func sortedKeys(m map[string]any) []string {
@@ -142,15 +137,24 @@
 	return keys
 }
 
-// cause returns the outcome of the request, taken from the last line, followed by
-// its failed attempts. lines must not be empty.
-func cause(lines []logLine) string {
-	last := lines[len(lines)-1]
+// finalMessages end a request at the process that the caller is connected to.
+var finalMessages = []string{"request answered", "request refused", "request given up"}
+
+// cause returns the outcome of the request, taken from the line that ends it,
+// followed by its failed attempts and the members that didn't answer. events must not
+// be empty.
+func cause(events []event) string {
+	last := events[len(events)-1].line
 	var failed []string
-	for i := range lines {
-		l := &lines[i]
-		if l.text("msg") == "attempt ended" && l.text("verdict") != "answered" {
+	for _, e := range events {
+		l := e.line
+		switch msg := l.text("msg"); {
+		case msg == "attempt ended" && l.text("verdict") != "answered":
 			failed = append(failed, l.text("target")+" "+l.text("verdict")+" "+l.text("error"))
+		case msg == "member failed":
+			failed = append(failed, l.text("member")+" "+l.text("error")+", then "+l.text("then"))
+		case slices.Contains(finalMessages, msg):
+			last = l
 		}
 	}
 	text := last.text("msg")
@@ -161,6 +165,8 @@
 		text = "answered without " + last.text("missing") + " shards: " + last.text("lacking")
 	case text == "request answered":
 		return "none; it was answered"
+	case !slices.Contains(finalMessages, text):
+		text = "not in these logs; add those of the gateway that the caller was connected to (" + last.text("entry") + ")"
 	default:
 		text += ": " + last.text("reason")
 	}
--- a/cmd/peridotmux/explain_test.go
+++ b/cmd/peridotmux/explain_test.go
@@ -60,3 +60,41 @@
 		t.Fatal(err)
 	}
 }
+
+// Lines of the gateway that the caller is connected to and of one that it handed
+// shards to must form one timeline, with durations that a person can read, and a line
+// of over 1 MiB must not end the search.
+func TestExplainJoinsGateways(t *testing.T) {
+	dir := t.TempDir()
+	entry := `{"time":"2026-12-04T09:00:00.100Z","msg":"shards handed over","request":"r1","after":1000000,"member":"gw2","shards":9}
+{"time":"2026-12-04T09:00:00.100Z","msg":"member failed","request":"r1","after":21000000,"member":"gw2","took":20000000,"error":"no answer in time","then":"next member"}
+{"time":"2026-12-04T09:00:00.100Z","msg":"request answered","request":"r1","after":100000000,"late":true,"missing":0,"list_age":1470000000}
+`
+	other := strings.Repeat("x", maxLogLine+10) + `
+{"time":"2026-12-04T09:00:00.080Z","msg":"parts served","request":"r1","after":50000000,"entry":"gw1","missing":0}
+`
+	c := &explainCommand{request: "r1"}
+	for name, text := range map[string]string{"gw1": entry, "gw3": other} {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.files = append(c.files, path)
+	}
+	var out strings.Builder
+	if err := c.run(strings.NewReader(""), &out); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 6 {
+		t.Fatalf("got:\n%s", out.String())
+	}
+	for i, want := range []string{
+		"shards handed over", "took=20ms", "80.0 ms", "list_age=1.47s",
+		"cause: answered late; attempts: gw2 no answer in time, then next member", "1 lines over 1048576 bytes",
+	} {
+		if !strings.Contains(lines[i], want) {
+			t.Errorf("line %d: %q, want %q", i, lines[i], want)
+		}
+	}
+}
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -60,7 +60,7 @@
 }
 
 // budget counts a router's requests and extra arrivals for each service. Each
-// router applies the ratio to its own requests and uses an equal part of the slack,
+// router applies the ratio to its own requests and uses its share of the slack,
 // so that all routers together keep the limits without coordination. It is safe for
 // concurrent use.
 type budget struct {
@@ -121,13 +121,20 @@
 	u.requests[u.bucket%int64(len(u.requests))]++
 }
 
+// recordRequests counts a caller's request for several services.
+func (b *budget) recordRequests(services []route.ServiceName, now time.Time) {
+	for _, s := range services {
+		b.recordRequest(s, now)
+	}
+}
+
 // tryAcquire counts one extra arrival and returns true if the budget has room for
-// it. The slack is divided among the given number of routers.
-func (b *budget) tryAcquire(s route.ServiceName, routers int, level urgency, now time.Time) bool {
+// it. share is the fraction of all routers' slack that this one may use.
+func (b *budget) tryAcquire(s route.ServiceName, share float64, level urgency, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(s, now)
-	slack := b.limits.Slack * slackFactor / float64(max(routers, 1))
+	slack := b.limits.Slack * slackFactor * share
 	room := b.limits.Ratio*ratioFactor*u.maxRequests() + slack
 	if u.spent()+1 > room*level.budgetShare() {
 		return false
--- a/forward/call.go
+++ b/forward/call.go
@@ -36,6 +36,11 @@
 	req     *request
 	service route.ServiceName
 	median  time.Duration
+	// attempts is the number of targets that may run the request.
+	attempts int
+	// repeat means that another router may have sent the request to the service, so
+	// that each arrival is an extra one.
+	repeat bool
 	// tried are the targets that the request was sent to or may still be.
 	tried []*backend
 	// sendStates holds the state of each attempt.
@@ -109,10 +114,10 @@
 	}
 	c.withdrawPending()
 	extra := c.arrivals() > 0
-	if extra && (c.hedged || c.req.route.Kind != route.Idempotent || c.possibleRuns() >= c.req.route.Attempts) {
+	if extra && (c.hedged || c.req.route.Kind != route.Idempotent || c.possibleRuns() >= c.attempts) {
 		return
 	}
-	if len(c.tried) > c.req.route.Attempts+maxRejections {
+	if len(c.tried) > c.attempts+maxRejections {
 		return
 	}
 	started := c.start(ctx, shard, results, level, true)
@@ -126,7 +131,7 @@
 		return false
 	}
 	now := time.Now()
-	first := c.arrivals() == 0
+	first := c.arrivals() == 0 && !c.repeat
 	sel := c.server.fleet.choose(&criteria{
 		service: c.service, median: c.median, tried: c.tried, nonIdempotent: c.req.route.Kind != route.Idempotent,
 	}, now)
@@ -134,7 +139,7 @@
 		c.req.trace.add(decision{msg: msgNoTarget, at: now, service: c.service})
 		return false
 	}
-	if !first && !c.server.budget.tryAcquire(c.service, c.server.fleet.routerCount(), level, now) {
+	if !first && !c.server.budget.tryAcquire(c.service, c.server.fleet.budgetShare(c.service), level, now) {
 		c.server.fleet.release(sel)
 		c.budgetDenied = true
 		c.req.trace.add(decision{msg: msgExtraDenied, at: now, service: c.service})
@@ -195,12 +200,12 @@
 		return false
 	}
 	retry := r.outcome.Verdict == NotRun || c.req.route.Kind == route.Idempotent
-	return retry && c.possibleRuns() < c.req.route.Attempts && c.rejections <= maxRejections
+	return retry && c.possibleRuns() < c.attempts && c.rejections <= maxRejections
 }
 
 // hedgeDelay returns how long the first attempt may be in flight before a hedge.
 // late is the service time above which an attempt counts as late.
-func (c *call) hedgeDelay(late time.Duration) time.Duration {
-	latest := time.Duration(hedgeShare * float64(c.req.route.Objective))
+func hedgeDelay(r *route.Route, late time.Duration) time.Duration {
+	latest := time.Duration(hedgeShare * float64(r.Objective))
 	return max(min(late, latest), minHedgeDelay)
 }
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/peridotmux/peridotmux/affinity"
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/topology"
 )
 
 const (
@@ -54,16 +56,21 @@
 	reopenInterval = 2 * time.Second
 )
 
-// gatewaysOf returns the routers in a view, with this one.
-func (f *fleet) gatewaysOf(v *board.View) []affinity.Gateway {
-	out := make([]affinity.Gateway, 0, len(v.Routers)+1)
+// applyRouters takes over the routers in a view, with this one. f.mu must be held.
+func (f *fleet) applyRouters(v *board.View) {
+	f.gateways, f.workers = nil, nil
+	f.addrs = make(map[topology.VMName]netip.AddrPort, len(v.Routers))
 	for name, r := range v.Routers {
-		out = append(out, affinity.Gateway{Name: name, DataCentre: r.VM.DataCentre})
+		g := affinity.Gateway{Name: name, DataCentre: r.VM.DataCentre}
+		f.gateways = append(f.gateways, g)
+		if r.VM.RPC.IsValid() && !r.Leaving {
+			f.workers = append(f.workers, g)
+			f.addrs[name] = r.VM.RPC
+		}
 	}
 	if _, known := v.Routers[f.vm]; !known {
-		out = append(out, affinity.Gateway{Name: f.vm, DataCentre: f.dataCentre})
+		f.gateways = append(f.gateways, affinity.Gateway{Name: f.vm, DataCentre: f.dataCentre})
 	}
-	return out
 }
 
 // limitConnections divides each target's connections among the routers. f.mu must
@@ -77,35 +84,30 @@
 		if !ok {
 			continue
 		}
-		perRouter := int(usableConnectionShare * float64(s.MaxConnections) / float64(f.routers))
+		perRouter := int(usableConnectionShare * float64(s.MaxConnections) * f.shareOf(name))
 		for _, b := range backends {
 			b.pool.SetMaxConnections(max(perRouter, minConnections))
 		}
 	}
 }
 
-// assignConnections decides which targets this router keeps a connection to. f.mu
-// must be held.
+// assignConnections decides who sends the sub-requests of gathers and which targets
+// this router keeps a connection to. f.mu must be held.
 func (f *fleet) assignConnections(now time.Time) {
 	if f.table == nil || !f.assignmentStale || now.Sub(f.assignedAt) < assignInterval {
 		return
 	}
 	f.assignedAt, f.assignmentStale = now, false
-	self := -1
-	for i, g := range f.gateways {
-		if g.Name == f.vm {
-			self = i
-		}
-	}
-	for name := range f.byService {
-		f.assignService(name, self, now)
+	f.planCells()
+	f.limitConnections()
+	for name := range f.table.UsedServices() {
+		f.assignService(name, now)
 	}
 }
 
 // assignService applies the assignment of one service. Targets that are leaving or
-// whose data centre is quiet take no part in it. self is this router's index in
-// f.gateways. f.mu must be held.
-func (f *fleet) assignService(name route.ServiceName, self int, now time.Time) {
+// whose data centre is quiet take no part in it. f.mu must be held.
+func (f *fleet) assignService(name route.ServiceName, now time.Time) {
 	s, ok := f.table.Services[name]
 	if !ok {
 		return
@@ -123,15 +125,17 @@
 		members = append(members, b)
 		targets = append(targets, affinity.Target{ID: b.id, DataCentre: b.target.DataCentre, MaxConnections: s.MaxConnections})
 	}
-	dealt := dealThreshold*float64(s.MaxConnections*len(f.byService[name])) < float64(len(f.gateways))
+	shared := f.sharingOf(name)
+	routers := float64(len(shared.gateways))
+	dealt := shared.self < 0 || dealThreshold*float64(s.MaxConnections*len(f.byService[name])) < routers
 	for _, b := range f.byService[name] {
 		b.connsDealt = dealt
-		b.connsScarce = dealt || scarceThreshold*float64(s.MaxConnections) < float64(len(f.gateways))
+		b.connsScarce = dealt || scarceThreshold*float64(s.MaxConnections) < routers
 	}
-	if !dealt {
+	if !dealt || shared.self < 0 {
 		return
 	}
-	for _, t := range affinity.Assign(name, f.gateways, targets).Kept[self] {
+	for _, t := range affinity.Assign(name, shared.gateways, targets).Kept[shared.self] {
 		b := members[t]
 		b.keepsConnection = true
 		if !kept[b] {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -41,8 +42,14 @@
 	listRequestedAt time.Time
 	// routers is the number of routers that share the targets, at least 1.
 	routers int
-	// gateways are the routers in control's records, with this one.
-	gateways []affinity.Gateway
+	// gateways are the routers in control's records, with this one. workers are those
+	// of them that may send sub-requests for others, and addrs their addresses.
+	gateways, workers []affinity.Gateway
+	addrs             map[topology.VMName]netip.AddrPort
+	// plans says which routers send the sub-requests of a gather, and sharings which
+	// ones send those of a service, for gathers that are divided.
+	plans    map[*route.Gather]*cellPlan
+	sharings map[route.ServiceName]sharing
 	// assignedAt is when kept connections were last assigned; assignmentStale means
 	// that the targets, the routers or the routes may have changed since.
 	assignedAt      time.Time
@@ -72,11 +79,15 @@
 			f.returnedAt[dc] = now
 		}
 	}
+	newTable := f.table != table
 	f.quiet, f.listRequestedAt, f.table = v.QuietDCs, l.RequestedAt, table
 	f.routers = max(len(v.Routers), 1)
-	f.gateways = f.gatewaysOf(v)
+	f.applyRouters(v)
 	f.assignmentStale = true
 	f.applyList(l)
+	if newTable {
+		f.planCells()
+	}
 	f.limitConnections()
 }
 
@@ -155,7 +166,7 @@
 		return nil
 	}
 	if bestIsProbe {
-		best.backend.probeAt = now.Add(f.probeInterval())
+		best.backend.probeAt = now.Add(f.probeInterval(best.backend.service))
 	}
 	best.backend.inFlight[best] = now
 	best.backend.neededAt = now
@@ -208,13 +219,6 @@
 	return n
 }
 
-// routerCount returns the number of routers that share the targets.
-func (f *fleet) routerCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.routers
-}
-
 // timeUntilUsable returns the expected time until count of the services have a
 // usable target, within minRetryAfter and maxRetryAfter.
 func (f *fleet) timeUntilUsable(services []route.ServiceName, count int, now time.Time) time.Duration {
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -152,7 +152,7 @@
 			requests = append(requests, now)
 		}
 		for range 2 {
-			if b.tryAcquire("s", routers, urgencyHigh, now) {
+			if b.tryAcquire("s", 1/float64(routers), urgencyHigh, now) {
 				extra = append(extra, now)
 			}
 		}
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -23,16 +23,31 @@
 type gathering struct {
 	server *Server
 	req    *request
-	// calls and parts are indexed by shard. A part is nil until it is received.
-	calls []*call
-	parts []*result
+	// calls, handedOver and signatures are indexed by shard. A shard has either a call
+	// or a cell's hand-over to another router. A signature is empty until the part is
+	// received.
+	calls      []*call
+	handedOver []*handOver
+	signatures []string
+	handOvers  []*handOver
+	// bodies are the records of the parts received, and fresh the shards of those that
+	// weren't passed to the entry yet.
+	bodies [][]byte
+	fresh  []int
 	// received is the number of parts received.
 	received int
-	// late is the service time above which an attempt counts as late.
-	late time.Duration
+	// median is the usual service time, and late the one above which an attempt counts
+	// as late.
+	median, late time.Duration
+	// hedgeFloor is the minimum time until shards are hedged.
+	hedgeFloor time.Duration
+	// objective is when the response should be written.
+	objective time.Time
 	// runs is the number of attempts that targets may have run.
 	runs    int
 	results chan *result
+	// replies are what other routers sent.
+	replies chan memberReply
 }
 
 // gather answers a request that goes to one target of each shard.
@@ -49,6 +64,7 @@
 	g := s.newGathering(req)
 	g.startAll(ctx)
 	why := g.await(ctx)
+	g.stopMembers()
 	callerPresent := stop()
 	time.AfterFunc(lingerTime, cancel)
 	if !callerPresent {
@@ -64,23 +80,52 @@
 }
 
 func (s *Server) newGathering(req *request) *gathering {
-	shards := req.route.Gather.Shards
+	n := len(req.route.Gather.Shards)
 	median, late := s.serviceTimes.get(req.route)
-	req.trace.reserve(len(shards))
-	g := &gathering{
-		server: s, req: req, late: late,
-		calls: make([]*call, len(shards)), parts: make([]*result, len(shards)),
-		results: make(chan *result, len(shards)*(req.route.Attempts+maxRejections+1)),
+	req.trace.reserve(n)
+	return &gathering{
+		server: s, req: req, median: median, late: late,
+		calls: make([]*call, n), handedOver: make([]*handOver, n), signatures: make([]string, n),
+		results: make(chan *result, n*(req.route.Attempts+maxRejections+1)),
 	}
-	for i, service := range shards {
-		g.calls[i] = &call{server: s, req: req, service: service, median: median}
-	}
-	return g
 }
 
+// startAll hands the shards of other cells over and asks the other ones.
 func (g *gathering) startAll(ctx context.Context) {
-	for i, c := range g.calls {
-		c.start(ctx, i, g.results, urgencyHigh, false)
+	own := allShards(len(g.calls))
+	plan := g.server.fleet.planFor(g.req.route.Gather)
+	messages := len(own)
+	if plan != nil {
+		g.hedgeFloor = acceptTime(g.req.route) + hedgeMargin
+		messages = len(plan.cells)
+	}
+	g.objective = g.req.received.Add(g.req.route.Objective - g.req.allowance - fanOutTime(messages, g.server.cfg.LinkBitsPerSecond))
+	if plan != nil {
+		own = g.handOverAll(ctx, plan)
+	}
+	g.server.budget.recordRequests(g.services(own), g.req.received)
+	g.startShards(ctx, own, g.req.route.Attempts, false)
+}
+
+// services returns the names of shards.
+func (g *gathering) services(shards []int) []route.ServiceName {
+	out := make([]route.ServiceName, len(shards))
+	for i, shard := range shards {
+		out[i] = g.req.route.Gather.Shards[shard]
+	}
+	return out
+}
+
+// startShards asks shards from this router. repeat means that another router may have
+// asked them.
+func (g *gathering) startShards(ctx context.Context, shards []int, attempts int, repeat bool) {
+	for _, shard := range shards {
+		c := &call{
+			server: g.server, req: g.req, service: g.req.route.Gather.Shards[shard], median: g.median,
+			attempts: attempts, repeat: repeat,
+		}
+		g.calls[shard], g.handedOver[shard] = c, nil
+		c.start(ctx, shard, g.results, urgencyHigh, false)
 	}
 }
 
@@ -88,30 +133,32 @@
 // after the objective the minimum coverage is enough. The returned reason applies
 // if too few parts were received.
 func (g *gathering) await(ctx context.Context) reason {
-	objective := g.req.received.Add(g.req.route.Objective - g.req.allowance - fanOutTime(len(g.calls), g.server.cfg.LinkBitsPerSecond))
-	objectiveTimer := time.NewTimer(time.Until(objective))
+	objectiveTimer := time.NewTimer(time.Until(g.objective))
 	defer objectiveTimer.Stop()
 	deadline := time.NewTimer(time.Until(g.req.deadline))
 	defer deadline.Stop()
-	hedge := time.NewTimer(g.calls[0].hedgeDelay(g.late))
+	hedge := time.NewTimer(g.hedgeDelay())
 	defer hedge.Stop()
+	memberDue := time.NewTimer(acceptTime(g.req.route))
+	defer memberDue.Stop()
 	minParts := g.req.route.Gather.MinParts()
-	lastHedge := objective.Add(-lastHedgeFactor * g.late)
+	lastHedge := g.objective.Add(-lastHedgeFactor * g.late)
 	objectivePassed := false
-	for g.received < len(g.parts) && g.anyInFlight() && g.possibleParts() >= minParts {
+	for g.received < len(g.calls) && g.anyInFlight() && g.possibleParts() >= minParts {
 		if objectivePassed && g.received >= minParts {
 			return reasonNone
 		}
 		select {
 		case r := <-g.results:
 			g.handleResult(ctx, r)
-		case <-hedge.C:
-			g.hedgeAll(ctx, urgencyLow)
-			hedge.Reset(time.Until(lastHedge))
-			if !time.Now().Before(lastHedge) {
-				g.hedgeAll(ctx, urgencyMedium)
-				hedge.Stop()
+		case m := <-g.replies:
+			g.handleReply(ctx, &m)
+		case now := <-memberDue.C:
+			if next := g.checkMembers(ctx, now); !next.IsZero() {
+				memberDue.Reset(time.Until(next))
 			}
+		case <-hedge.C:
+			g.hedgeOnTime(ctx, hedge, lastHedge)
 		case <-objectiveTimer.C:
 			objectivePassed = true
 		case <-deadline.C:
@@ -123,27 +170,62 @@
 	return reasonCoverage
 }
 
+// hedgeDelay returns how long first attempts may be in flight before a hedge.
+func (g *gathering) hedgeDelay() time.Duration {
+	return max(hedgeDelay(g.req.route, g.late), g.hedgeFloor)
+}
+
+// hedgeOnTime hedges when the timer fires: the first time those that are late, and at
+// lastHedge those that the budget didn't allow earlier.
+func (g *gathering) hedgeOnTime(ctx context.Context, timer *time.Timer, lastHedge time.Time) {
+	g.hedgeAll(ctx, urgencyLow)
+	timer.Reset(time.Until(lastHedge))
+	if !time.Now().Before(lastHedge) {
+		g.hedgeAll(ctx, urgencyMedium)
+		timer.Stop()
+	}
+}
+
 // possibleParts returns the number of parts that are received or may still be.
 func (g *gathering) possibleParts() int {
 	n := 0
-	for i, c := range g.calls {
-		if g.parts[i] != nil || c.inFlight > 0 {
+	for i := range g.signatures {
+		if g.signatures[i] != "" || g.shardInFlight(i) {
 			n++
 		}
 	}
 	return n
 }
 
+// shardInFlight reports whether the part of a shard may still come.
+func (g *gathering) shardInFlight(shard int) bool {
+	if h := g.handedOver[shard]; h != nil {
+		return h.open
+	}
+	return g.calls[shard] != nil && g.calls[shard].inFlight > 0
+}
+
 // anyInFlight reports whether an attempt is in flight.
 func (g *gathering) anyInFlight() bool {
-	for _, c := range g.calls {
-		if c.inFlight > 0 {
+	for i := range g.signatures {
+		if g.shardInFlight(i) {
 			return true
 		}
 	}
 	return false
 }
 
+// inFlight returns the number of this router's attempts in flight.
+func (g *gathering) inFlight() int {
+	n := 0
+	for _, c := range g.calls {
+		if c != nil {
+			n += c.inFlight
+		}
+	}
+	return n
+}
+
 // handleResult keeps the part of a successful attempt and retries a failed one if
 // it may be.
 func (g *gathering) handleResult(ctx context.Context, r *result) {
@@ -152,12 +234,12 @@
 	if r.outcome.Verdict != NotRun {
 		g.runs++
 	}
-	if g.parts[r.shard] != nil {
+	if g.signatures[r.shard] != "" {
 		return
 	}
-	if r.outcome.Success() && isListable(r.outcome.Header.Get(g.server.cfg.Headers.Signature)) {
-		g.parts[r.shard] = r
-		g.received++
+	if signature := r.outcome.Header.Get(g.server.cfg.Headers.Signature); r.outcome.Success() && isListable(signature) {
+		g.addPart(r.shard, signature)
+		g.bodies = append(g.bodies, r.outcome.Body)
 		return
 	}
 	if retry {
@@ -165,6 +247,16 @@
 	}
 }
 
+// addPart records that a shard's part was received.
+func (g *gathering) addPart(shard int, signature string) {
+	if g.signatures[shard] != "" {
+		return
+	}
+	g.signatures[shard] = signature
+	g.fresh = append(g.fresh, shard)
+	g.received++
+}
+
 // isListable reports whether a signature can be part of a comma-separated list.
 func isListable(signature string) bool {
 	return signature != "" && !strings.ContainsAny(signature, ", ")
@@ -176,7 +268,7 @@
 		level = urgencyHigh
 	}
 	for i, c := range g.calls {
-		if g.parts[i] == nil {
+		if g.signatures[i] == "" && c != nil {
 			c.hedge(ctx, i, g.results, level)
 		}
 	}
@@ -193,32 +285,35 @@
 // missingDetails describes the shards without a part, for the log.
 func (g *gathering) missingDetails() []string {
 	var out []string
-	for i, c := range g.calls {
-		if g.parts[i] != nil {
+	for i, service := range g.req.route.Gather.Shards {
+		if g.signatures[i] != "" {
 			continue
 		}
-		text := string(c.service) + " tried=" + strconv.Itoa(len(c.tried)) + " out=" + strconv.Itoa(c.inFlight) + " rejected=" + strconv.Itoa(c.rejections)
-		if c.budgetDenied {
-			text += " denied"
+		text := string(service)
+		if h := g.handedOver[i]; h != nil {
+			text += " member=" + string(h.asked.vm)
+		}
+		if c := g.calls[i]; c != nil {
+			text += " tried=" + strconv.Itoa(len(c.tried)) + " out=" + strconv.Itoa(c.inFlight) + " rejected=" + strconv.Itoa(c.rejections)
+			if c.budgetDenied {
+				text += " denied"
+			}
 		}
 		out = append(out, text)
 	}
 	return out
 }
 
-func (g *gathering) missing() int { return len(g.parts) - g.received }
+func (g *gathering) missing() int { return len(g.signatures) - g.received }
 
 // writeResponse merges the parts into one response.
 func (g *gathering) writeResponse(w http.ResponseWriter) {
 	d := &g.server.cfg.Headers
 	signatures := make([]string, 0, g.received)
-	bodies := make([][]byte, 0, g.received)
-	for _, p := range g.parts {
-		if p == nil {
-			continue
+	for _, signature := range g.signatures {
+		if signature != "" {
+			signatures = append(signatures, signature)
 		}
-		signatures = append(signatures, p.outcome.Header.Get(d.Signature))
-		bodies = append(bodies, p.outcome.Body)
 	}
 	h := w.Header()
 	h.Set(d.RequestID, g.req.id)
@@ -226,7 +321,7 @@
 	h.Set(d.MissingParts, strconv.Itoa(g.missing()))
 	h.Set("Content-Type", "application/octet-stream")
 	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(topRecords(bodies, g.req.route.Gather.TopK))
+	_, _ = w.Write(topRecords(g.bodies, g.req.route.Gather.TopK))
 }
 
 // refuse answers a request for which too few parts were received.
@@ -246,9 +341,9 @@
 // missingServices lists the services without a part.
 func (g *gathering) missingServices() []route.ServiceName {
 	var out []route.ServiceName
-	for i, c := range g.calls {
-		if g.parts[i] == nil {
-			out = append(out, c.service)
+	for i, service := range g.req.route.Gather.Shards {
+		if g.signatures[i] == "" {
+			out = append(out, service)
 		}
 	}
 	return out
--- /dev/null
+++ b/forward/handover.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+)
+
+const (
+	// acceptShare is the fraction of the objective within which a member must accept
+	// shards that were handed to it, between minAcceptTime and maxAcceptTime.
+	acceptShare   = 0.3
+	minAcceptTime = 15 * time.Millisecond
+	maxAcceptTime = 30 * time.Millisecond
+	// hedgeMargin is how much later than the time to accept a member may hedge. A
+	// request that was withdrawn from it then ran at one target of a shard at most.
+	hedgeMargin = 3 * time.Millisecond
+	// replyMargin is the time before the entry's own objective at which members send
+	// the parts received so far.
+	replyMargin = 5 * time.Millisecond
+	// silenceMargin is how long after the objective a member that accepted shards may
+	// have sent no parts before it counts as lost.
+	silenceMargin = 25 * time.Millisecond
+)
+
+// handOver is the shards of one cell that this router hands to a member. Its fields
+// belong to the goroutine that handles the request.
+type handOver struct {
+	// shards are indexes in the gathering's shards.
+	shards []int
+	// untried are the members that weren't asked yet.
+	untried []member
+	// try numbers the members asked, from 1. asked is the current one.
+	try    int
+	asked  member
+	sentAt time.Time
+	// open means that parts may still come.
+	open bool
+	// accepted means that the member accepted the shards, and reported that it also
+	// sent parts or said that it has none yet.
+	accepted, reported bool
+	// repeat means that an earlier member may have sent the shards.
+	repeat bool
+	// attempts is the number of targets of a shard that may run the request.
+	attempts int
+	// runs is the number of attempts that the member reported as possibly run.
+	runs int
+	// stop withdraws the shards from the current member.
+	stop context.CancelFunc
+}
+
+// memberReply is what a member sent, or how asking it failed.
+type memberReply struct {
+	from *handOver
+	// try is the number of the member asked.
+	try int
+	// message is nil if the connection failed. notSent then means that nothing had
+	// been sent.
+	message *pb.PartsReply
+	notSent bool
+	cause   error
+}
+
+// acceptTime returns how long a member may take to accept shards.
+func acceptTime(r *route.Route) time.Duration {
+	share := time.Duration(acceptShare * float64(r.Objective))
+	return min(max(share, minAcceptTime), maxAcceptTime)
+}
+
+// handOverStep is what follows if a member doesn't answer.
+type handOverStep uint8
+
+const (
+	// stepGiveUp leaves the shards out.
+	stepGiveUp handOverStep = iota
+	// stepNext hands the shards to the next member.
+	stepNext
+	// stepSelf sends the sub-requests from this router.
+	stepSelf
+)
+
+// next decides what follows after the current member failed. If nothing was sent to
+// it, the shards go elsewhere as if it hadn't been asked. Otherwise it may have sent
+// them: they go elsewhere once, with one attempt less, and only while the member can't
+// have hedged yet, so that no request runs at more targets than its route allows.
+func (h *handOver) next(notSent bool, waited, hedgeAfter time.Duration) handOverStep {
+	if !notSent {
+		if h.repeat || h.attempts < 2 || h.accepted && waited >= hedgeAfter {
+			return stepGiveUp
+		}
+		h.repeat = true
+		h.attempts--
+	}
+	if len(h.untried) == 0 {
+		return stepSelf
+	}
+	return stepNext
+}
+
+// dueAt returns when the member must have answered, zero if there is no such time.
+func (h *handOver) dueAt(accept time.Duration, objective time.Time) time.Time {
+	switch {
+	case !h.open || h.reported:
+		return time.Time{}
+	case h.accepted:
+		return objective.Add(silenceMargin)
+	default:
+		return h.sentAt.Add(accept)
+	}
+}
+
+// handOverAll hands the shards of each cell to a member of it. It returns the shards
+// that this router asks itself.
+func (g *gathering) handOverAll(ctx context.Context, plan *cellPlan) []int {
+	var own []int
+	capacity := 0
+	for i := range plan.cells {
+		c := &plan.cells[i]
+		if c.own || len(c.members) == 0 {
+			own = append(own, c.shards...)
+			continue
+		}
+		h := &handOver{
+			shards: c.shards, attempts: g.req.route.Attempts, open: true,
+			untried: g.server.members.order(c.members, c.equal, time.Now()),
+		}
+		for _, shard := range c.shards {
+			g.handedOver[shard] = h
+		}
+		g.handOvers = append(g.handOvers, h)
+		capacity += (len(c.members) + 1) * (len(c.shards) + 4)
+	}
+	g.replies = make(chan memberReply, capacity)
+	for _, h := range g.handOvers {
+		g.askNext(ctx, h)
+	}
+	return own
+}
+
+// askNext hands shards to the next member.
+func (g *gathering) askNext(ctx context.Context, h *handOver) {
+	h.asked, h.untried = h.untried[0], h.untried[1:]
+	h.try++
+	h.sentAt, h.accepted, h.reported = time.Now(), false, false
+	ask := &memberCall{
+		members: g.server.members, member: h.asked, message: g.partsRequest(h),
+		from: h, try: h.try, replies: g.replies,
+	}
+	g.req.trace.add(decision{msg: msgHandedOver, at: h.sentAt, target: string(h.asked.vm), shards: len(h.shards), repeat: h.repeat})
+	askCtx, stop := context.WithCancel(ctx)
+	h.stop = stop
+	g.server.workers.run(func() { ask.run(askCtx) })
+}
+
+// partsRequest returns the message that hands shards over.
+func (g *gathering) partsRequest(h *handOver) *pb.PartsRequest {
+	req := g.req
+	q := &pb.PartsRequest{
+		Entry: string(g.server.cfg.VM), RequestId: req.id, Method: req.method, Uri: req.uri, Host: req.host,
+		Headers: packHeaders(req.header), Body: req.body, HasBody: req.hasBody,
+		Route: string(req.route.Name), TableVersion: req.table.Version,
+		Top: uint32(req.route.Gather.TopK), MinCoverage: req.route.Gather.MinCoverage, Attempts: uint32(h.attempts), //nolint:gosec // Small.
+		ObjectiveUs: microseconds(req.route.Objective), TimeLeftUs: microseconds(time.Until(req.deadline)),
+		AnswerWithinUs: microseconds(time.Until(g.objective) - replyMargin), HedgeAfterUs: microseconds(acceptTime(req.route) + hedgeMargin),
+		Repeat: h.repeat,
+	}
+	for _, shard := range h.shards {
+		q.Shards = append(q.Shards, string(req.route.Gather.Shards[shard]))
+	}
+	return q
+}
+
+func microseconds(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) } //nolint:gosec // Not negative.
+
+// handleReply applies what a member sent.
+func (g *gathering) handleReply(ctx context.Context, r *memberReply) {
+	h := r.from
+	if !h.open || r.try != h.try {
+		return
+	}
+	if r.message == nil {
+		g.replace(ctx, h, r.notSent, r.cause)
+		return
+	}
+	switch r.message.GetStatus() {
+	case pb.PartsStatus_PARTS_STATUS_ACCEPTED:
+		h.accepted = true
+	case pb.PartsStatus_PARTS_STATUS_REFUSED:
+		g.replace(ctx, h, true, &MemberRefusedError{Reason: r.message.GetReason()})
+	case pb.PartsStatus_PARTS_STATUS_MORE:
+		h.accepted, h.reported = true, true
+		g.takeParts(h, r.message)
+	case pb.PartsStatus_PARTS_STATUS_DONE:
+		g.takeParts(h, r.message)
+		h.open = false
+		g.req.trace.add(decision{
+			msg: msgPartsReceived, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: time.Since(h.sentAt),
+			missing: r.message.GetMissing(),
+		})
+	default:
+		g.replace(ctx, h, false, &MemberRefusedError{Reason: "unknown status"})
+	}
+}
+
+// MemberRefusedError means that another router didn't take shards, or broke the
+// protocol.
+type MemberRefusedError struct{ Reason string }
+
+// Error describes the failure.
+func (e *MemberRefusedError) Error() string { return "shards not taken: " + e.Reason }
+
+// MemberSilentError means that another router didn't answer in time.
+type MemberSilentError struct{}
+
+// Error describes the failure.
+func (*MemberSilentError) Error() string { return "no answer in time" }
+
+// takeParts keeps the parts in a message of a member.
+func (g *gathering) takeParts(h *handOver, m *pb.PartsReply) {
+	h.runs = int(m.GetRuns())
+	signatures := m.GetSignatures()
+	for i, index := range m.GetShards() {
+		if int(index) >= len(h.shards) || i >= len(signatures) || !isListable(signatures[i]) {
+			continue
+		}
+		g.addPart(h.shards[index], signatures[i])
+	}
+	if len(m.GetShards()) > 0 {
+		g.bodies = append(g.bodies, m.GetRecords())
+	}
+}
+
+// replace hands shards elsewhere after the current member failed, or gives them up.
+func (g *gathering) replace(ctx context.Context, h *handOver, notSent bool, cause error) {
+	h.stop()
+	waited := time.Since(h.sentAt)
+	g.server.members.recordFailure(h.asked, h.sentAt, cause, time.Now())
+	step := h.next(notSent, waited, acceptTime(g.req.route)+hedgeMargin)
+	g.req.trace.add(decision{
+		msg: msgMemberFailed, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: waited, cause: cause, step: step,
+	})
+	g.server.cfg.Metrics.HandOverFailed(step.String())
+	if !notSent {
+		g.runs++
+	}
+	switch step {
+	case stepNext:
+		g.askNext(ctx, h)
+	case stepSelf:
+		h.open = false
+		g.startShards(ctx, h.shards, h.attempts, h.repeat)
+	case stepGiveUp:
+		h.open = false
+	}
+}
+
+// String returns the step's name in logs and metrics.
+func (s handOverStep) String() string {
+	switch s {
+	case stepNext:
+		return "next member"
+	case stepSelf:
+		return "itself"
+	default:
+		return "given up"
+	}
+}
+
+// checkMembers replaces the members that didn't answer in time, and returns when the
+// next one must have answered, zero if none.
+func (g *gathering) checkMembers(ctx context.Context, now time.Time) time.Time {
+	accept := acceptTime(g.req.route)
+	var next time.Time
+	for _, h := range g.handOvers {
+		due := h.dueAt(accept, g.objective)
+		if !due.IsZero() && !due.After(now) {
+			g.replace(ctx, h, false, &MemberSilentError{})
+			due = h.dueAt(accept, g.objective)
+		}
+		if !due.IsZero() && (next.IsZero() || due.Before(next)) {
+			next = due
+		}
+	}
+	return next
+}
+
+// stopMembers withdraws what the members haven't answered.
+func (g *gathering) stopMembers() {
+	for _, h := range g.handOvers {
+		g.runs += h.runs
+		if h.open {
+			g.runs++
+		}
+		h.stop()
+	}
+}
--- a/forward/outliers.go
+++ b/forward/outliers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/outlier"
+	"github.com/peridotmux/peridotmux/route"
 )
 
 // incarnation identifies the backend's target in its current incarnation.
@@ -60,7 +61,7 @@
 	for _, b := range f.byID {
 		found, known := set[b.incarnation()]
 		if known && b.shared == (outlier.Outlier{}) {
-			b.probeAt = now.Add(rand.N(f.probeInterval()))
+			b.probeAt = now.Add(rand.N(f.probeInterval(b.service)))
 		}
 		b.shared = found
 	}
@@ -70,8 +71,11 @@
 // together.
 const probeSpacing = 2 * time.Second
 
-// probeInterval returns the time between two probes of an outlier by this router.
-func (f *fleet) probeInterval() time.Duration { return time.Duration(f.routers) * probeSpacing }
+// probeInterval returns the time between two probes of an outlier of a service by
+// this router. f.mu must be held.
+func (f *fleet) probeInterval(s route.ServiceName) time.Duration {
+	return time.Duration(max(len(f.sharingOf(s).gateways), 1)) * probeSpacing
+}
 
 const (
 	// maxProbeSlowness and maxProbeFailureRate bound this router's own observations
--- /dev/null
+++ b/forward/parts.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+)
+
+// maxSharedParts bounds the shards that this router asks for other routers at the same
+// time. More are refused at once, so that another member or the entry asks them.
+const maxSharedParts = 1024
+
+// reasons for which shards of another router are refused.
+const (
+	refusedLeaving  = "shutting down"
+	refusedNoTable  = "no routes or targets known"
+	refusedResumed  = "resumed from a pause"
+	refusedOldTable = "a service isn't in the routes known"
+	refusedBusy     = "too many shards in progress"
+	refusedBadAsk   = "the message makes no sense"
+)
+
+// PartsServer sends sub-requests for other routers.
+type PartsServer struct{ server *Server }
+
+// Parts returns the service for other routers.
+func (s *Server) Parts() *PartsServer { return &PartsServer{server: s} }
+
+// Exchange serves one router until the stream ends.
+func (p *PartsServer) Exchange(stream pb.DRPCParts_ExchangeStream) error {
+	x := &partsExchange{server: p.server, stops: make(map[uint64]context.CancelFunc)}
+	return rpc.ServeBatches(stream.Context(), stream, rpc.PartsCodec, x.handle)
+}
+
+// partsExchange holds the requests in progress of one stream.
+type partsExchange struct {
+	server *Server
+
+	mu sync.Mutex
+	// stops holds the function that withdraws each request by its id.
+	stops map[uint64]context.CancelFunc
+}
+
+func (x *partsExchange) handle(ctx context.Context, q *pb.PartsRequest, reply func(*pb.PartsReply)) {
+	if q.GetCancel() {
+		x.stop(q.GetId())
+		return
+	}
+	received := time.Now()
+	if reason := x.server.refuseParts(q, received); reason != "" {
+		x.server.cfg.Metrics.PartsRefused(reason)
+		x.server.cfg.Log.Debug("parts refused", "request", q.GetRequestId(), "entry", q.GetEntry(), "reason", reason)
+		reply(&pb.PartsReply{Id: q.GetId(), Status: pb.PartsStatus_PARTS_STATUS_REFUSED, Reason: reason})
+		return
+	}
+	reply(&pb.PartsReply{Id: q.GetId(), Status: pb.PartsStatus_PARTS_STATUS_ACCEPTED})
+	x.server.sharedParts.Add(int64(len(q.GetShards())))
+	ctx, stop := context.WithCancel(ctx)
+	x.mu.Lock()
+	x.stops[q.GetId()] = stop
+	x.mu.Unlock()
+	x.server.workers.run(func() {
+		defer x.server.sharedParts.Add(-int64(len(q.GetShards())))
+		defer x.stop(q.GetId())
+		x.server.serveParts(ctx, q, received, reply)
+	})
+}
+
+// stop withdraws a request. It does nothing if the request isn't in progress.
+func (x *partsExchange) stop(id uint64) {
+	x.mu.Lock()
+	stop := x.stops[id]
+	delete(x.stops, id)
+	x.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// refuseParts returns why the shards of another router are refused, "" if they are
+// accepted.
+func (s *Server) refuseParts(q *pb.PartsRequest, now time.Time) string {
+	table := s.table.Load()
+	switch {
+	case len(q.GetShards()) == 0 || q.GetTop() == 0 || q.GetTimeLeftUs() == 0 || q.GetAttempts() == 0:
+		return refusedBadAsk
+	case s.noKeepAlives.Load():
+		return refusedLeaving
+	case table == nil || !s.Ready():
+		return refusedNoTable
+	case s.resume.resumedLately(now):
+		return refusedResumed
+	case s.sharedParts.Load()+int64(len(q.GetShards())) > maxSharedParts:
+		return refusedBusy
+	}
+	for _, name := range q.GetShards() {
+		if _, known := table.Services[route.ServiceName(name)]; !known {
+			return refusedOldTable
+		}
+	}
+	return ""
+}
+
+// serveParts sends a request to some shards and replies with their parts: once with
+// those received when the entry needs them, and then with each one as it comes.
+func (s *Server) serveParts(stop context.Context, q *pb.PartsRequest, received time.Time, reply func(*pb.PartsReply)) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	req := s.partsRequest(q, received)
+	if !q.GetRepeat() {
+		s.budget.recordRequests(req.route.Gather.Shards, received)
+	}
+	work, cancel := context.WithDeadline(context.WithoutCancel(stop), req.deadline)
+	defer time.AfterFunc(lingerTime, cancel)
+	g := s.newGathering(req)
+	g.hedgeFloor = time.Duration(q.GetHedgeAfterUs()) * time.Microsecond //nolint:gosec // Durations of requests.
+	g.startShards(work, allShards(len(g.calls)), req.route.Attempts, q.GetRepeat())
+	answerBy := received.Add(time.Duration(q.GetAnswerWithinUs()) * time.Microsecond) //nolint:gosec // Durations of requests.
+	g.stream(work, stop, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
+	s.logPartsServed(req, g, q.GetEntry(), q.GetRepeat())
+}
+
+// partsRequest returns the request of another router as one of this router.
+func (s *Server) partsRequest(q *pb.PartsRequest, received time.Time) *request {
+	gather := &route.Gather{TopK: int(q.GetTop()), MinCoverage: q.GetMinCoverage()}
+	for _, name := range q.GetShards() {
+		gather.Shards = append(gather.Shards, route.ServiceName(name))
+	}
+	return &request{
+		id: q.GetRequestId(), method: q.GetMethod(), uri: q.GetUri(), host: q.GetHost(), header: unpackHeaders(q.GetHeaders()),
+		body: q.GetBody(), hasBody: q.GetHasBody(), received: received,
+		deadline: received.Add(time.Duration(q.GetTimeLeftUs()) * time.Microsecond), //nolint:gosec // Durations of requests.
+		table:    s.table.Load(),
+		route: &route.Route{
+			Name: route.Name(q.GetRoute()), Kind: route.Idempotent, Attempts: int(q.GetAttempts()), Gather: gather,
+			Objective: time.Duration(q.GetObjectiveUs()) * time.Microsecond, //nolint:gosec // Durations of requests.
+		},
+	}
+}
+
+func allShards(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// stream collects parts and sends them: at answerBy those received so far, after it
+// each one as it comes, and the rest when nothing is in flight any more. The end of
+// stop means that no more parts are needed.
+func (g *gathering) stream(work, stop context.Context, answerBy time.Time, send func(pb.PartsStatus)) {
+	answer := time.NewTimer(time.Until(answerBy))
+	defer answer.Stop()
+	hedge := time.NewTimer(g.hedgeDelay())
+	defer hedge.Stop()
+	lastHedge := answerBy.Add(-lastHedgeFactor * g.late)
+	for g.received < len(g.calls) && g.anyInFlight() {
+		select {
+		case r := <-g.results:
+			before := g.received
+			g.handleResult(work, r)
+			if g.received > before && !time.Now().Before(answerBy) && g.received < len(g.calls) {
+				send(pb.PartsStatus_PARTS_STATUS_MORE)
+			}
+		case <-hedge.C:
+			g.hedgeOnTime(work, hedge, lastHedge)
+		case <-answer.C:
+			send(pb.PartsStatus_PARTS_STATUS_MORE)
+		case <-work.Done():
+			send(pb.PartsStatus_PARTS_STATUS_DONE)
+			return
+		case <-stop.Done():
+			return
+		}
+	}
+	send(pb.PartsStatus_PARTS_STATUS_DONE)
+}
+
+// partsReply returns a message with the parts received since the last one.
+func (g *gathering) partsReply(id uint64, status pb.PartsStatus) *pb.PartsReply {
+	m := &pb.PartsReply{Id: id, Status: status, Runs: uint32(g.runs)} //nolint:gosec // Bounded by the attempts.
+	if status == pb.PartsStatus_PARTS_STATUS_DONE {
+		m.Runs += uint32(g.inFlight()) //nolint:gosec // Bounded by the attempts.
+		m.Missing = g.missingDetails()
+	}
+	for _, shard := range g.fresh {
+		m.Shards = append(m.Shards, uint32(shard)) //nolint:gosec // An index.
+		m.Signatures = append(m.Signatures, g.signatures[shard])
+	}
+	m.Records = topRecords(g.bodies, g.req.route.Gather.TopK)
+	g.fresh, g.bodies = nil, nil
+	return m
+}
--- /dev/null
+++ b/forward/parts_test.go
@@ -0,0 +1,379 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/peridotmux/peridotmux/board"
+	"github.com/peridotmux/peridotmux/board/records"
+	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/route"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
+	"github.com/peridotmux/peridotmux/telemetry"
+	"github.com/peridotmux/peridotmux/topology"
+)
+
+// clusterShards is the number of shards of a cluster's gather. Eight routers divide
+// them into two cells.
+const clusterShards = 26
+
+// cluster is several servers that hand shards to each other.
+type cluster struct {
+	servers []*testServer
+	targets []*fakeTarget
+	table   *route.Table
+	// listeners accept the other servers' connections, and stops end them.
+	listeners []net.Listener
+	stops     []context.CancelFunc
+}
+
+// startCluster starts n servers and two targets for each shard.
+func startCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	names, targets, entries := startShards(t, clusterShards)
+	c := &cluster{targets: targets, table: testTable(names...)}
+	c.table.Routes[2].Gather.MinCoverage = 0.9
+	if err := c.table.Index(); err != nil {
+		t.Fatal(err)
+	}
+	routers := make(map[topology.VMName]board.Router)
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		c.listeners = append(c.listeners, l)
+		vm := topology.VMName(fmt.Sprint("gw", i))
+		routers[vm] = board.Router{VM: topology.VM{Name: vm, DataCentre: "dc-a", RPC: netip.MustParseAddrPort(l.Addr().String())}}
+	}
+	for i := range n {
+		c.startServer(t, i, routers, entries)
+	}
+	return c
+}
+
+func (c *cluster) startServer(t *testing.T, i int, routers map[topology.VMName]board.Router, entries []discovery.Target) {
+	t.Helper()
+	f := &testServer{t: t, board: board.New(), list: discovery.NewInventory(), table: c.table, log: &strings.Builder{}}
+	f.Server = New(Config{
+		Headers: testHeaders, VM: topology.VMName(fmt.Sprint("gw", i)), DataCentre: "dc-a", Board: f.board, Inventory: f.list,
+		Decode:  func([]byte) (*route.Table, error) { return c.table, nil },
+		Budget:  BudgetLimits{Ratio: 0.2, Slack: 4000, Window: 10 * time.Second},
+		ListLag: 100 * time.Millisecond,
+		Log:     slog.New(slog.NewJSONHandler(f, nil)), Metrics: &telemetry.Forward{},
+	})
+	f.board.Update(func(v *board.View) {
+		*v = *records.EmptyView()
+		v.Routers = routers
+		v.Routes = &board.RouteDocument{Version: 1, Index: 1}
+	})
+	f.setTargets(entries...)
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	c.stops = append(c.stops, stop)
+	go f.resume.run(ctx)
+	go func() {
+		_ = rpc.Serve(ctx, c.listeners[i], func(mux drpc.Mux) error { return pb.DRPCRegisterParts(mux, f.Parts()) })
+	}()
+	server := httptest.NewUnstartedServer(f.Server)
+	server.Config.ConnContext = ConnContext
+	server.Start()
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	c.servers = append(c.servers, f)
+}
+
+// askedByEntry returns the member that server 0 asks first for the cell that it isn't
+// in.
+func (c *cluster) askedByEntry(t *testing.T) member {
+	t.Helper()
+	plan := c.servers[0].fleet.planFor(c.table.Routes[2].Gather)
+	if plan == nil {
+		t.Fatal("the gather isn't divided")
+	}
+	for _, cell := range plan.cells {
+		if !cell.own {
+			return cell.members[0]
+		}
+	}
+	t.Fatal("no other cell")
+	return member{}
+}
+
+// indexOf returns the index of a server.
+func (c *cluster) indexOf(vm topology.VMName) int {
+	for i, s := range c.servers {
+		if s.cfg.VM == vm {
+			return i
+		}
+	}
+	return -1
+}
+
+// openConnections returns the number of connections to targets.
+func (f *testServer) openConnections() int {
+	n := 0
+	for _, b := range f.fleet.byID {
+		n += b.pool.NumOpen()
+	}
+	return n
+}
+
+// arrivals returns the number of targets of each shard that a request reached.
+func (c *cluster) arrivals(id string) map[route.ServiceName]int {
+	out := make(map[route.ServiceName]int)
+	for _, target := range c.targets {
+		for _, q := range target.requests() {
+			if q.header.Get("Req-Id") == id {
+				out[target.service]++
+			}
+		}
+	}
+	return out
+}
+
+// checkComplete checks that an answer has all parts and that each shard was reached
+// by at most the given number of targets.
+func (c *cluster) checkComplete(t *testing.T, got reply, id string, most int) {
+	t.Helper()
+	parts := strings.Split(got.header.Get("Parts"), ", ")
+	want := fmt.Sprintf("%016d%016d%016d", 251, 250, 241)
+	if got.status != http.StatusOK || got.header.Get("Missing") != "0" || len(parts) != clusterShards || got.body != want {
+		t.Fatalf("status %d, missing %q, %d parts, body %q", got.status, got.header.Get("Missing"), len(parts), got.body)
+	}
+	for service, n := range c.arrivals(id) {
+		if n > most {
+			t.Errorf("request %s reached %d targets of %s", id, n, service)
+		}
+	}
+}
+
+// A gather must be answered whole with the sub-requests of its cells sent by
+// different routers, each shard being asked once.
+func TestGatherIsDividedAmongRouters(t *testing.T) {
+	c := startCluster(t, 8)
+	for i := range 20 {
+		id := fmt.Sprint("divided-", i)
+		c.checkComplete(t, c.servers[i%8].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
+	}
+	senders := 0
+	for _, s := range c.servers {
+		if strings.Contains(s.lines(), msgMemberFailed) {
+			t.Errorf("%s: %s", s.cfg.VM, s.lines())
+		}
+		open := s.openConnections()
+		if open > 0 {
+			senders++
+		}
+		if open > clusterShards {
+			t.Errorf("%s has %d connections to targets", s.cfg.VM, open)
+		}
+	}
+	if senders < 4 {
+		t.Errorf("%d routers sent sub-requests", senders)
+	}
+}
+
+// A member that accepts connections and never answers, as when it is frozen, must not
+// cost the answer: its shards go to another member, once, and it is avoided then.
+func TestSilentMemberIsReplaced(t *testing.T) {
+	c := startCluster(t, 8)
+	asked := c.askedByEntry(t)
+	i := c.indexOf(asked.vm)
+	c.stops[i]()
+	silent, err := net.Listen("tcp", asked.addr.String())
+	for tries := 0; err != nil && tries < 50; tries++ {
+		time.Sleep(10 * time.Millisecond)
+		silent, err = net.Listen("tcp", asked.addr.String())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	for j := range 4 {
+		id := fmt.Sprint("silent-", j)
+		start := time.Now()
+		c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
+		if took := time.Since(start); took > 300*time.Millisecond {
+			t.Errorf("request %s took %v, over its objective", id, took)
+		}
+	}
+	if lines := c.servers[0].lines(); !strings.Contains(lines, "member avoided") {
+		t.Error("the silent member isn't avoided: ", lines)
+	}
+}
+
+// A member that is shutting down must refuse shards, so that they go elsewhere
+// without an extra arrival.
+func TestLeavingMemberRefusesShards(t *testing.T) {
+	c := startCluster(t, 8)
+	leaving := c.servers[c.indexOf(c.askedByEntry(t).vm)]
+	leaving.DisableKeepAlives()
+	for j := range 4 {
+		id := fmt.Sprint("leaving-", j)
+		c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
+	}
+	if n := leaving.openConnections(); n != 0 {
+		t.Errorf("the leaving router opened %d connections to targets", n)
+	}
+}
+
+// Without any other router that answers, the entry must ask all shards itself.
+func TestEntryAsksItselfWithoutMembers(t *testing.T) {
+	c := startCluster(t, 8)
+	for i, stop := range c.stops[1:] {
+		stop()
+		_ = c.listeners[i+1].Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", "alone", 1500), "alone", 1)
+}
+
+// A member that is lost after it accepted shards and may have hedged them must not be
+// replaced, since a request would then run at more targets than its route allows, and
+// a gather that can't reach its coverage any more must end at once.
+func TestLostMemberEndsGatherEarly(t *testing.T) {
+	c := startCluster(t, 8)
+	for _, s := range c.targets {
+		s.answer = func(net.Conn, *http.Request, []byte, int) { time.Sleep(time.Second) }
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		for i := range c.servers[1:] {
+			c.stops[i+1]()
+			_ = c.listeners[i+1].Close()
+		}
+	})
+	start := time.Now()
+	got := c.servers[0].send(http.MethodGet, "/all/x", "", "lost", 1500)
+	if took := time.Since(start); got.status != http.StatusBadGateway || took > 500*time.Millisecond {
+		t.Errorf("status %d after %v", got.status, took)
+	}
+	for service, n := range c.arrivals("lost") {
+		if n > 2 {
+			t.Errorf("%d targets of %s", n, service)
+		}
+	}
+}
+
+// When the caller leaves, members must stop: no shard may be asked later.
+func TestCallerThatLeavesStopsMembers(t *testing.T) {
+	c := startCluster(t, 8)
+	for _, s := range c.targets {
+		s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
+			time.Sleep(30 * time.Millisecond)
+			s.refuse(c, r)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.servers[0].url+"/all/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Req-Id", "left")
+	r.Header.Set("Left-Ms", "1500")
+	if resp, err := http.DefaultClient.Do(r); err == nil {
+		_ = resp.Body.Close()
+		t.Fatal("answered")
+	}
+	time.Sleep(300 * time.Millisecond)
+	for service, n := range c.arrivals("left") {
+		if n > 1 {
+			t.Errorf("%d targets of %s were asked", n, service)
+		}
+	}
+	for _, s := range c.servers {
+		if n := s.sharedParts.Load(); n != 0 {
+			t.Errorf("%s still asks %d shards", s.cfg.VM, n)
+		}
+	}
+}
+
+// What follows after a member failed must depend on whether it may have sent the
+// shards, and no shard may get more attempts than its route allows.
+func TestNextStepOfHandOver(t *testing.T) {
+	some := []member{{vm: "b"}}
+	const after = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		h        handOver
+		notSent  bool
+		waited   time.Duration
+		want     handOverStep
+		attempts int
+		repeat   bool
+	}{
+		"not sent":                       {h: handOver{attempts: 2, untried: some}, notSent: true, want: stepNext, attempts: 2},
+		"not sent, nobody left":          {h: handOver{attempts: 2}, notSent: true, want: stepSelf, attempts: 2},
+		"silent":                         {h: handOver{attempts: 2, untried: some}, waited: after, want: stepNext, attempts: 1, repeat: true},
+		"silent, one attempt":            {h: handOver{attempts: 1, untried: some}, waited: after, want: stepGiveUp, attempts: 1},
+		"silent twice":                   {h: handOver{attempts: 1, untried: some, repeat: true}, waited: after, want: stepGiveUp, attempts: 1, repeat: true},
+		"lost before it can have hedged": {h: handOver{attempts: 2, accepted: true}, waited: after - 1, want: stepSelf, attempts: 1, repeat: true},
+		"lost later":                     {h: handOver{attempts: 2, accepted: true, untried: some}, waited: after, want: stepGiveUp, attempts: 2},
+	} {
+		if got := c.h.next(c.notSent, c.waited, after); got != c.want || c.h.attempts != c.attempts || c.h.repeat != c.repeat {
+			t.Errorf("%s: %v, %d attempts, repeat %v", name, got, c.h.attempts, c.h.repeat)
+		}
+	}
+}
+
+// Shards that another router may have asked must count as extra arrivals, so that
+// repeats can't exceed what all routers may add together.
+func TestRepeatedShardsUseBudget(t *testing.T) {
+	c := startCluster(t, 8)
+	s := c.servers[0]
+	s.budget = newBudget(BudgetLimits{Ratio: 0, Slack: 0, Window: 10 * time.Second})
+	var replies []*pb.PartsReply
+	q := &pb.PartsRequest{
+		Id: 1, RequestId: "repeated", Method: "GET", Uri: "/all/x", Host: "h", Route: "all", Top: 3, Attempts: 1,
+		ObjectiveUs: 300_000, TimeLeftUs: 1_000_000, AnswerWithinUs: 200_000, Repeat: true, Shards: []string{"s0", "s1"},
+	}
+	s.serveParts(context.Background(), q, time.Now(), func(r *pb.PartsReply) { replies = append(replies, r) })
+	if n := len(c.arrivals("repeated")); n != 0 {
+		t.Errorf("%d shards asked beyond the budget", n)
+	}
+	if len(replies) != 1 || replies[0].GetStatus() != pb.PartsStatus_PARTS_STATUS_DONE || len(replies[0].GetShards()) != 0 || replies[0].GetRuns() != 0 {
+		t.Errorf("replies %v", replies)
+	}
+}
+
+// A router that was paused must refuse shards until its view is current again, and
+// one that lacks a service must say so.
+func TestRefusedShards(t *testing.T) {
+	c := startCluster(t, 8)
+	s := c.servers[0]
+	good := func() *pb.PartsRequest {
+		return &pb.PartsRequest{Shards: []string{"s0"}, Top: 1, TimeLeftUs: 1, Attempts: 1}
+	}
+	unknown := good()
+	unknown.Shards = []string{"s0", "new"}
+	if got := s.refuseParts(good(), time.Now()); got != "" {
+		t.Error("refused: ", got)
+	}
+	if got := s.refuseParts(unknown, time.Now()); got != refusedOldTable {
+		t.Error("unknown service: ", got)
+	}
+	if got := s.refuseParts(&pb.PartsRequest{}, time.Now()); got != refusedBadAsk {
+		t.Error("empty: ", got)
+	}
+	s.sharedParts.Store(maxSharedParts)
+	if got := s.refuseParts(good(), time.Now()); got != refusedBusy {
+		t.Error("busy: ", got)
+	}
+	s.sharedParts.Store(0)
+	if got := s.refuseParts(good(), time.Now().Add(pauseThreshold+time.Minute)); got != refusedResumed {
+		t.Error("after a pause: ", got)
+	}
+}
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -24,6 +24,12 @@
 	msgGivenUp      = "request given up"
 	msgResumed      = "request held after a pause"
 	msgSuppressed   = "request lines left out"
+
+	// Of requests whose shards other routers ask.
+	msgHandedOver    = "shards handed over"
+	msgPartsReceived = "parts received"
+	msgMemberFailed  = "member failed"
+	msgPartsServed   = "parts served"
 )
 
 const (
@@ -56,6 +62,15 @@
 	cost      time.Duration
 	// outcome is how an attempt ended, nil for other steps.
 	outcome *Outcome
+	// shards is the number of shards handed over to another router, whether that may
+	// repeat them, how long it took, and how it failed and what followed.
+	shards int
+	repeat bool
+	took   time.Duration
+	cause  error
+	step   handOverStep
+	// missing describes the shards of which the other router got no part.
+	missing []string
 }
 
 // requestTrace collects a request's decisions until it is known whether they are
@@ -124,8 +139,17 @@
 func (w *requestLogger) write(req *request, decisions []decision) {
 	for i := range decisions {
 		d := &decisions[i]
-		attrs := []any{"request", req.id, "after", d.at.Sub(req.received), "service", string(d.service)}
+		attrs := []any{"request", req.id, "after", d.at.Sub(req.received)}
+		if d.service != "" {
+			attrs = append(attrs, "service", string(d.service))
+		}
 		switch d.msg {
+		case msgHandedOver:
+			attrs = append(attrs, "member", d.target, "shards", d.shards, "repeat", d.repeat)
+		case msgPartsReceived:
+			attrs = append(attrs, "member", d.target, "shards", d.shards, "took", d.took, "lacking", d.missing)
+		case msgMemberFailed:
+			attrs = append(attrs, "member", d.target, "shards", d.shards, "took", d.took, "error", d.cause, "then", d.step.String())
 		case msgTargetChosen:
 			attrs = append(attrs, "target", d.target, "hedge", d.hedge, "cost", d.cost, "in_flight", d.candidate.inFlight,
 				"oldest", d.candidate.oldest, "load_running", d.candidate.load.Running, "load_waiting", d.candidate.load.Waiting,
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -57,26 +57,25 @@
 	}
 }
 
-// wait blocks a request that arrives right after a pause until control has confirmed
-// the view, for resumeWait at most. It returns whether it blocked.
-func (g *resumeGate) wait(ctx context.Context) bool {
-	if g.confirmed == nil {
-		return false
-	}
-	now := time.Now()
+// resumedLately reports whether the process was paused until less than resumeWait ago.
+func (g *resumeGate) resumedLately(now time.Time) bool {
 	if int64(now.Sub(g.start))-g.ranAt.Load() > int64(pauseThreshold) {
 		g.note(now)
 	}
 	resumed := g.resumedAt.Load()
-	if resumed == 0 {
+	return resumed != 0 && now.Before(g.start.Add(time.Duration(resumed)).Add(resumeWait))
+}
+
+// wait blocks a request that arrives right after a pause until control has confirmed
+// the view, for resumeWait at most. It returns whether it blocked.
+func (g *resumeGate) wait(ctx context.Context) bool {
+	if g.confirmed == nil {
 		return false
 	}
-	until := g.start.Add(time.Duration(resumed)).Add(resumeWait)
 	blocked := false
-	for now.Before(until) && !g.confirmed(now) && ctx.Err() == nil {
+	for now := time.Now(); g.resumedLately(now) && !g.confirmed(now) && ctx.Err() == nil; now = time.Now() {
 		blocked = true
 		time.Sleep(resumePoll)
-		now = time.Now()
 	}
 	return blocked
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -67,6 +67,10 @@
 	requestLog   *requestLogger
 	workers      *workers
 	resume       *resumeGate
+	// members are the routers that send sub-requests for this one, and sharedParts the
+	// number of shards in progress that this one asks for others.
+	members     *members
+	sharedParts atomic.Int64
 	// responseMemory bounds the bodies of the responses that are being read.
 	responseMemory *response.Memory
 	table          atomic.Pointer[route.Table]
@@ -84,6 +88,7 @@
 	s := &Server{
 		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
+		members: newMembers(c.Log),
 	}
 	s.resume = newResumeGate(c.Confirmed, time.Now())
 	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
@@ -108,6 +113,7 @@
 // Run keeps the targets and routes up to date until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	defer s.workers.close()
+	defer s.members.close()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.checker.run(ctx) })
 	wg.Go(func() { s.resume.run(ctx) })
@@ -161,6 +167,7 @@
 	s.applyRoutes(view.Routes)
 	now := time.Now()
 	s.fleet.update(list, view, s.table.Load(), now)
+	s.members.retain(s.fleet.memberAddrs())
 	s.fleet.applyOutliers(s.cfg.Outliers.Outliers(), now)
 }
 
@@ -230,10 +237,8 @@
 		return req, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: reasonHeaders, cause: err}
 	}
 	req.deadline = received.Add(timeBudget(r.Header.Get(s.cfg.Headers.TimeLeftMS), req.allowance, found.TimeLimit))
-	for _, service := range found.Services() {
-		if found.Gather != nil || len(found.Split) == 1 {
-			s.budget.recordRequest(service, received)
-		}
+	if len(found.Split) == 1 {
+		s.budget.recordRequest(found.Split[0].Service, received)
 	}
 	body, err := readRequestBody(r, table.Limits.BodyBytes)
 	switch {
--- a/forward/serverlog.go
+++ b/forward/serverlog.go
@@ -55,3 +55,15 @@
 	s.requestLog.write(req, decisions)
 	s.cfg.Log.Info(msgGivenUp, append(s.commonAttrs(req), "reason", string(reasonCallerLeft), "after", time.Since(req.received))...)
 }
+
+// logPartsServed logs the shards that this router asked for another one, entry.
+func (s *Server) logPartsServed(req *request, g *gathering, entry string, repeat bool) {
+	after := time.Since(req.received)
+	decisions := req.trace.close()
+	if !s.requestLog.shouldLog(req.id, after > req.route.Objective || g.missing() > 0) {
+		return
+	}
+	s.requestLog.write(req, decisions)
+	s.cfg.Log.Info(msgPartsServed, append(s.commonAttrs(req), "entry", entry, "repeat", repeat, "after", after,
+		"shards", len(g.calls), "missing", g.missing(), "lacking", g.missingDetails())...)
+}
--- a/forward/single.go
+++ b/forward/single.go
@@ -19,7 +19,7 @@
 	if len(req.route.Split) > 1 {
 		s.budget.recordRequest(service, req.received)
 	}
-	c := &call{server: s, req: req, service: service, median: median}
+	c := &call{server: s, req: req, service: service, median: median, attempts: req.route.Attempts}
 	results := make(chan *result, req.route.Attempts+maxRejections+1)
 	if !c.start(ctx, 0, results, urgencyHigh, false) {
 		s.refuse(w, r, req, &refusal{
@@ -36,7 +36,7 @@
 func (c *call) await(ctx context.Context, results chan *result, late time.Duration) *result {
 	deadline := time.NewTimer(time.Until(c.req.deadline))
 	defer deadline.Stop()
-	hedge := time.NewTimer(c.hedgeDelay(late))
+	hedge := time.NewTimer(hedgeDelay(c.req.route, late))
 	defer hedge.Stop()
 	var last *result
 	for c.inFlight > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"storj.io/drpc"
 
 	"github.com/peridotmux/peridotmux/api"
 	"github.com/peridotmux/peridotmux/board"
@@ -26,6 +27,8 @@
 	"github.com/peridotmux/peridotmux/outlier"
 	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/router"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/settings"
 	"github.com/peridotmux/peridotmux/telemetry"
 )
@@ -162,6 +165,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := listen(s.VM.RPC)
+	if err != nil {
+		return err
+	}
 	g.log.Info("starts", "vm", s.VM.Name, "data_centre", s.VM.DataCentre, "callers", s.VM.HTTP, "control", s.Control)
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
@@ -179,7 +186,12 @@
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: headerTimeout}
 	page := &http.Server{Handler: g.pages(), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	wg.Go(func() {
+		if err := rpc.Serve(base, peers, g.register); base.Err() == nil {
+			failed <- err
+		}
+	})
 	wg.Go(func() { failed <- front.Serve(g.server.Listener(callers)) })
 	wg.Go(func() { failed <- ready.Serve(readiness) })
 	wg.Go(func() { failed <- page.Serve(pages) })
@@ -196,6 +208,9 @@
 	return g.shutdown(front)
 }
 
+// register adds the services for other gateways.
+func (g *Gateway) register(mux drpc.Mux) error { return pb.DRPCRegisterParts(mux, g.server.Parts()) }
+
 // waitAtMost waits for wg, but no longer than d, since nothing depends on how its
 // goroutines end.
 func waitAtMost(wg *sync.WaitGroup, d time.Duration) {
--- a/route/route.go
+++ b/route/route.go
@@ -2,11 +2,7 @@
 // requests, which requests may be repeated, and how long they may take.
 package route
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // ServiceName names a set of targets that are interchangeable.
 type ServiceName string
@@ -172,12 +168,13 @@
 	return nil
 }
 
-// ByName returns the routes sorted by name.
-func (t *Table) ByName() []*Route {
-	out := make([]*Route, len(t.Routes))
+// UsedServices returns the services that a route names.
+func (t *Table) UsedServices() map[ServiceName]bool {
+	out := make(map[ServiceName]bool)
 	for i := range t.Routes {
-		out[i] = &t.Routes[i]
+		for _, s := range t.Routes[i].Services() {
+			out[s] = true
+		}
 	}
-	slices.SortFunc(out, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
--- a/rpc/caller.go
+++ b/rpc/caller.go
@@ -30,6 +30,9 @@
 	UnpackReplies  func(RB) []R
 	SetRequestID   func(Q, uint64)
 	ReplyID        func(R) uint64
+	// More reports whether further replies to the same request follow a reply. If
+	// nil, each request gets one reply.
+	More func(R) bool
 }
 
 // Caller multiplexes concurrent calls over one stream. Requests that are pending
@@ -47,9 +50,9 @@
 	err     error
 }
 
-// call is one call that waits for its reply.
+// call is one call that waits for its replies.
 type call[R any] struct {
-	// reply has room for one reply, so that delivering it never blocks.
+	// reply has room for all replies, so that delivering one never blocks.
 	reply chan R
 	// sent is set once the request may have been handed to the network.
 	sent bool
@@ -93,19 +96,11 @@
 // reply.
 func (c *Caller[Q, R, QB, RB]) Call(ctx context.Context, q Q, cancel func(id uint64) Q) (R, error) {
 	var zero R
-	id, cl, err := c.register(q)
+	id, cl, err := c.start(ctx, q, 1)
 	if err != nil {
 		return zero, err
 	}
 	select {
-	case c.send <- outgoing[Q, R]{q, cl}:
-	case <-ctx.Done():
-		c.abandon(id)
-		return zero, ctx.Err()
-	case <-c.done:
-		return zero, c.lostError(cl)
-	}
-	select {
 	case r := <-cl.reply:
 		return r, nil
 	case <-ctx.Done():
@@ -119,15 +114,33 @@
 	}
 }
 
+// start queues q and returns its id and its call, which takes the given number of
+// replies.
+func (c *Caller[Q, R, QB, RB]) start(ctx context.Context, q Q, replies int) (uint64, *call[R], error) {
+	id, cl, err := c.register(q, replies)
+	if err != nil {
+		return 0, nil, err
+	}
+	select {
+	case c.send <- outgoing[Q, R]{q, cl}:
+		return id, cl, nil
+	case <-ctx.Done():
+		c.abandon(id)
+		return 0, nil, ctx.Err()
+	case <-c.done:
+		return 0, nil, c.lostError(cl)
+	}
+}
+
 // register assigns an id to q and adds its call to the pending ones.
-func (c *Caller[Q, R, QB, RB]) register(q Q) (uint64, *call[R], error) {
+func (c *Caller[Q, R, QB, RB]) register(q Q, replies int) (uint64, *call[R], error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		return 0, nil, &ConnectionLostError{Addr: c.addr, Cause: c.err}
 	}
 	c.nextID++
-	cl := &call[R]{reply: make(chan R, 1)}
+	cl := &call[R]{reply: make(chan R, replies)}
 	c.pending[c.nextID] = cl
 	c.codec.SetRequestID(q, c.nextID)
 	return c.nextID, cl, nil
@@ -207,15 +220,24 @@
 	}
 }
 
-// deliver passes each reply to its call. Replies to abandoned calls are dropped.
+// deliver passes each reply to its call. Replies to abandoned calls are dropped, and
+// so are those above the number that a call takes.
 func (c *Caller[Q, R, QB, RB]) deliver(replies []R) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range replies {
 		id := c.codec.ReplyID(r)
-		if cl, ok := c.pending[id]; ok {
+		cl, ok := c.pending[id]
+		if !ok {
+			continue
+		}
+		if c.codec.More == nil || !c.codec.More(r) {
+			delete(c.pending, id)
+		}
+		select {
+		case cl.reply <- r:
+		default:
 			delete(c.pending, id)
-			cl.reply <- r
 		}
 	}
 }
--- a/rpc/link.go
+++ b/rpc/link.go
@@ -78,6 +78,29 @@
 	return r, err
 }
 
+// Open sends q and returns the exchange that receives its replies, at most the given
+// number. If it fails, nothing was sent. cancel builds the message that withdraws the
+// request with the given id.
+func (l *Link[Q, R, QB, RB]) Open(ctx context.Context, q Q, replies int, cancel func(id uint64) Q) (*Exchange[R], error) {
+	c, err := l.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	id, cl, err := c.start(ctx, q, replies)
+	if err != nil {
+		return nil, err
+	}
+	return &Exchange[R]{
+		Replies: cl.reply, Lost: c.done,
+		end: func(withdraw bool) {
+			c.abandon(id)
+			if withdraw {
+				c.sendCancel(cancel(id))
+			}
+		},
+	}, nil
+}
+
 // Close closes the connection. A later call dials again.
 func (l *Link[Q, R, QB, RB]) Close() {
 	l.mu.Lock()
--- a/telemetry/forward.go
+++ b/telemetry/forward.go
@@ -16,6 +16,8 @@
 	missing  metric.Int64Counter
 	refused  metric.Int64Counter
 	attempts metric.Float64Histogram
+	handOver metric.Int64Counter
+	declined metric.Int64Counter
 	// series caches the attribute set of each series of attempts.
 	series sync.Map // of attemptSeries to metric.MeasurementOption
 }
@@ -31,6 +33,8 @@
 		answered: b.histogram("peridotmux_forward_answer_seconds", "s", "Time to the answer, by route.", forwardBounds),
 		missing:  b.counter("peridotmux_forward_missing_parts", "1", "Shards that gathered answers lack, by route."),
 		refused:  b.counter("peridotmux_forward_refusals", "1", "Requests without a target's answer, by reason."),
+		handOver: b.counter("peridotmux_forward_handover_failures", "1", "Shards handed to a member that didn't answer, by what followed."),
+		declined: b.counter("peridotmux_forward_parts_refused", "1", "Shards of other routers that were refused, by reason."),
 		attempts: b.histogram("peridotmux_forward_attempt_seconds", "s", "Time of attempts at targets, by service and outcome.", forwardBounds),
 	}
 }
@@ -54,6 +58,20 @@
 	}
 }
 
+// HandOverFailed records that a member that shards were handed to didn't answer.
+func (f *Forward) HandOverFailed(then string) {
+	if f.handOver != nil {
+		f.handOver.Add(context.Background(), 1, metric.WithAttributes(attribute.String("then", then)))
+	}
+}
+
+// PartsRefused records that shards of another router were refused.
+func (f *Forward) PartsRefused(reason string) {
+	if f.declined != nil {
+		f.declined.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+	}
+}
+
 // Attempt records an attempt at a target. It is on the hot path, called for each
 // part of each answer, so it caches attribute sets.
 func (f *Forward) Attempt(service, outcome string, d time.Duration) {
