--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -268,3 +268,25 @@
 		t.Fatal(err)
 	}
 }
+
+// A take-out counts from when a leading member took it, not from when the operator's
+// command began to look for one, and never from before it was sent.
+func TestChangeCountsFromItsAcceptance(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	confirmed := func(at time.Time) *api.Intent {
+		return &api.Intent{History: []api.Transition{
+			{State: api.IntentPlanned, At: sent.Add(-time.Second)}, {State: api.IntentConfirmed, At: at}, {State: api.IntentInForce, At: at.Add(time.Second)},
+		}}
+	}
+	for _, c := range []struct{ at, want time.Time }{
+		{sent.Add(2 * time.Second), sent.Add(2 * time.Second)},
+		{sent.Add(-time.Millisecond), sent},
+	} {
+		if got := notAcceptedBefore(sent, confirmed(c.at)); !got.Equal(c.want) {
+			t.Errorf("confirmed at %v: counts from %v, want %v", c.at, got, c.want)
+		}
+	}
+	if got := notAcceptedBefore(sent, &api.Intent{}); !got.Equal(sent) {
+		t.Errorf("without a confirmation: %v", got)
+	}
+}
--- a/bench/product.go
+++ b/bench/product.go
@@ -166,8 +166,8 @@
 	return p.submitIntent(ctx, api.IntentSpec{Kind: api.IntentLeave, Targets: []topology.TargetID{id}})
 }
 
-// submitIntent submits an intent and confirms its plan. It returns the time just
-// before the confirmation, when the intent can't have been accepted yet.
+// submitIntent submits an intent and confirms its plan. It returns the latest time
+// known at which the intent can't have been accepted yet.
 func (p *product) submitIntent(ctx context.Context, spec api.IntentSpec) (time.Time, error) {
 	spec.Overrides = []api.PlanReason{api.PlanInsufficientCapacity}
 	spec.Operator = "bench"
@@ -179,10 +179,25 @@
 		return time.Time{}, &IntentError{Kind: string(spec.Kind), State: string(in.State)}
 	}
 	before := time.Now()
-	_, err = p.operator.Confirm(ctx, in.Plan.ID, &api.Confirmation{
+	in, err = p.operator.Confirm(ctx, in.Plan.ID, &api.Confirmation{
 		Command: adminclient.NewCommandNumber(), Base: in.Plan.Base,
 	})
-	return before, err
+	if err != nil {
+		return time.Time{}, err
+	}
+	return notAcceptedBefore(before, in), nil
+}
+
+// notAcceptedBefore returns a time before which an intent wasn't accepted: when its
+// confirmation was sent, or when the leading member that took it proposed it, if that
+// is later. While there is no leader, the operator's command waits between the two.
+func notAcceptedBefore(sent time.Time, in *api.Intent) time.Time {
+	for _, t := range in.History {
+		if t.State == api.IntentConfirmed && t.At.After(sent) {
+			return t.At
+		}
+	}
+	return sent
 }
 
 // KillRouter implements RouterLifecycle.
