Keep queues at a shard's last targets short, and leave hosts that fell silent

All members sent it everything: it reported 24 waiting on 3 slots, answered late and rejected the rest, and one rejection by the only target lost the shard. Members also had all their connections to such targets in use and left the shard out at once. On two dark targets of a shard each request waited until its attempts were used up.

Change: a target whose queue, by its last report worked off at its own pace, would make an answer late gets no more requests of gathers; the shard waits at the member, also for a free connection and after a rejection, until the objective and beyond. A request of which the target's host hasn't acknowledged all bytes after 50 ms (SIOCOUTQ) ends there: the host is down or cut off, the target is checked before further use, and the attempt doesn't use up one of the route's if the request may run more than once. Attempts linger 0.2 s after the answer, not 0.4 s.

Failed try: a connect timeout of 120 ms; three tests say that a slow connection to the only target must be awaited.

TestGatherWaitsForConnection failed before.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -228,7 +228,7 @@
 		b.replaced = true
 	case o.OverConnectionLimit:
 		b.connLimitedUntil, b.crowdedAt = now.Add(connLimitBackoff), now
-	case o.ConnectFailed, o.ConnectionLost, b.pool.RestartSuspected():
+	case o.ConnectFailed, o.ConnectionLost, o.Unreachable, b.pool.RestartSuspected():
 		b.suspect = true
 		b.pool.CloseIdle()
 	case o.TimedOut:
--- a/forward/call.go
+++ b/forward/call.go
@@ -49,11 +49,17 @@
 	// attempts that ended and certainly didn't run.
 	inFlight, rejections int
 	// targetRejections is the number of attempts that a target received but didn't
-	// run.
-	targetRejections int
-	hedged           bool
+	// run, and unreachable the number of those to hosts that were down or cut off.
+	targetRejections, unreachable int
+	hedged                        bool
 	// budgetDenied means that the budget had no room for another attempt.
 	budgetDenied bool
+	// objective is when the response should be there, zero if requests don't wait for
+	// busy targets. waiting means that one does, and rejectedBy are the targets that
+	// had too much to do for it.
+	objective  time.Time
+	waiting    bool
+	rejectedBy []*backend
 }
 
 // sendState tracks whether an attempt was sent, so that it can be withdrawn before
@@ -94,8 +100,15 @@
 	return n
 }
 
-// possibleRuns returns the number of attempts that ran or still may.
-func (c *call) possibleRuns() int { return c.arrivals() - c.targetRejections }
+// possibleRuns returns the number of attempts that ran or still may. Those to hosts
+// that are down or cut off don't count if the request may run more than once.
+func (c *call) possibleRuns() int {
+	n := c.arrivals() - c.targetRejections
+	if c.req.route.Kind == route.Idempotent {
+		n -= c.unreachable
+	}
+	return n
+}
 
 // withdrawPending withdraws the attempts that still wait for a connection.
 func (c *call) withdrawPending() {
@@ -132,13 +145,20 @@
 	}
 	now := time.Now()
 	first := c.arrivals() == 0 && !c.repeat
-	sel := c.server.fleet.choose(&criteria{
+	crit := &criteria{
 		service: c.service, median: c.median, tried: c.tried, nonIdempotent: c.req.route.Kind != route.Idempotent,
-	}, now)
+		objective: c.objective,
+	}
+	sel := c.server.fleet.choose(crit, now)
 	if sel == nil {
-		c.req.trace.add(decision{msg: msgNoTarget, at: now, service: c.service})
+		waited := c.waiting
+		c.waiting = c.mayWait(crit, now)
+		if !waited || !c.waiting {
+			c.req.trace.add(decision{msg: msgNoTarget, at: now, service: c.service, waiting: c.waiting})
+		}
 		return false
 	}
+	c.waiting = false
 	if !first && !c.server.budget.tryAcquire(c.service, c.server.fleet.budgetShare(c.service), level, now) {
 		c.server.fleet.release(sel)
 		c.budgetDenied = true
@@ -154,6 +174,7 @@
 	a := &attempt{
 		headers: &c.server.cfg.Headers, pool: sel.backend.pool, targetID: id,
 		request: c.req, deadline: c.req.deadline, sendState: s, memory: c.server.responseMemory,
+		unacked: c.server.unacked,
 	}
 	c.server.workers.run(func() {
 		r := &result{shard: shard, backend: sel.backend, hedge: hedge, sendState: s, outcome: a.run(ctx)}
@@ -175,6 +196,18 @@
 	}
 }
 
+// mayWait reports whether the request may wait for a target: nothing of it is in
+// flight or has run, and a target is only too busy. Targets that rejected it are asked
+// again then.
+func (c *call) mayWait(crit *criteria, now time.Time) bool {
+	if c.objective.IsZero() || c.inFlight > 0 || c.possibleRuns() > 0 || c.rejections > maxRejections {
+		return false
+	}
+	c.tried = slices.DeleteFunc(c.tried, func(b *backend) bool { return slices.Contains(c.rejectedBy, b) })
+	crit.tried, c.rejectedBy = c.tried, nil
+	return c.server.fleet.hasBusy(crit, now)
+}
+
 // release removes a selection whose attempt wasn't sent.
 func (f *fleet) release(sel *selection) {
 	f.mu.Lock()
@@ -186,16 +219,23 @@
 // another target.
 func (c *call) countResult(r *result) bool {
 	c.inFlight--
-	if r.outcome.Withdrawn {
-		// The target got nothing, and there is a connection to it by now.
+	if r.outcome.Withdrawn || r.outcome.PoolFull {
+		// The target got nothing, and there is a connection to it by now or soon.
 		c.tried = slices.DeleteFunc(c.tried, func(b *backend) bool { return b == r.backend })
 	}
+	if r.outcome.PoolFull {
+		return true
+	}
 	if r.outcome.Verdict == NotRun {
 		c.rejections++
 		if !r.sendState.neverSent() {
 			c.targetRejections++
+			c.rejectedBy = append(c.rejectedBy, r.backend)
 		}
 	}
+	if r.outcome.Unreachable {
+		c.unreachable++
+	}
 	if r.sendState.withdrawn() && c.inFlight > 0 {
 		return false
 	}
--- a/forward/cellplan.go
+++ b/forward/cellplan.go
@@ -171,7 +171,7 @@
 // memberShare is the fraction of what all routers may use of a service, connections
 // and extra arrivals, that belongs to the members of its cell. The rest is for
 // routers that send sub-requests although no member answers.
-const memberShare = 0.75
+const memberShare = 0.9
 
 // shareOf returns the fraction of what all routers together may use of a service that
 // this router may use. f.mu must be held.
--- a/forward/cost.go
+++ b/forward/cost.go
@@ -59,11 +59,9 @@
 // cost estimates the time until the target would answer one more request, increased
 // by the risks of failures there.
 func cost(c *candidate, median time.Duration) time.Duration {
-	usual := float64(median) * max(c.slowness, minSlowness)
-	busy := float64(c.inFlight) + c.otherInFlight()
-	slots := float64(max(c.slots, 1))
-	waiting := max(0, busy+1-slots) / slots
-	total := usual * (1 + waiting + occupancyWeight*busy/slots)
+	usual := c.usual(median)
+	busy := float64(c.inFlight) + c.otherInFlight(usual)
+	total := usual*(1+occupancyWeight*busy/float64(max(c.slots, 1))) + c.wait(usual)
 	if float64(c.oldest) > overdueFactor*usual {
 		total += float64(c.oldest)
 	}
@@ -83,12 +81,36 @@
 // minSlowness bounds how much faster than usual a target may count.
 const minSlowness = 0.5
 
-// otherInFlight estimates the requests of other routers at the target. The weight
-// of the load report decreases linearly with its age.
-func (c *candidate) otherInFlight() float64 {
-	if c.loadAge >= loadReportTTL {
+// otherInFlight estimates the requests of other routers at the target. While the
+// target has free slots others keep coming, so the weight of the load report decreases
+// linearly with its age. A queue longer than that is worked off at the target's pace.
+func (c *candidate) otherInFlight(usual float64) float64 {
+	reported := float64(max(0, c.load.Running+c.load.Waiting-c.inFlightAtLoad))
+	if reported == 0 {
 		return 0
 	}
-	n := max(0, c.load.Running+c.load.Waiting-c.inFlightAtLoad)
-	return float64(n) * (1 - float64(c.loadAge)/float64(loadReportTTL))
+	fading := reported * max(0, 1-float64(c.loadAge)/float64(loadReportTTL))
+	queued := reported - float64(c.loadAge)/max(usual, 1)*float64(max(c.slots, 1))
+	return max(fading, queued, 0)
+}
+
+// usual returns the time in which the target handles a request without a queue.
+func (c *candidate) usual(median time.Duration) float64 {
+	return float64(median) * max(c.slowness, minSlowness)
+}
+
+// wait estimates how long a request waits for a slot at the target.
+func (c *candidate) wait(usual float64) float64 {
+	slots := float64(max(c.slots, 1))
+	return usual * max(0, float64(c.inFlight)+c.otherInFlight(usual)+1-slots) / slots
+}
+
+// overrun reports whether one more request would wait at the target until it is late
+// although the target could answer it in time without the queue. If it couldn't, the
+// queue may be one request a slot long. left is the time until the objective. It
+// answers the load on the last targets of a shard, which would otherwise answer all
+// requests late instead of some in time.
+func (c *candidate) overrun(median, left time.Duration) bool {
+	usual := c.usual(median)
+	return c.wait(usual) > max(float64(left)-usual, usual)
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -86,6 +86,12 @@
 	Cancelled bool
 	// Withdrawn means that the router withdrew the attempt before it was sent.
 	Withdrawn bool
+	// Unreachable means that the target's host didn't acknowledge the request, so that
+	// it is down or cut off and most likely got nothing.
+	Unreachable bool
+	// PoolFull means that all connections that this router may have to the target are
+	// in use.
+	PoolFull bool
 	// WrongTarget means that another target answered at the address.
 	WrongTarget bool
 	// Cause is the failure, nil if there is a valid response.
@@ -130,6 +136,8 @@
 	sendState *sendState
 	// memory bounds the bodies of the responses that are being read.
 	memory *response.Memory
+	// unacked reports whether the target's host hasn't acknowledged all that was sent.
+	unacked func(*connpool.Conn) bool
 }
 
 // run sends the request and waits for its response. When ctx ends, no later than
@@ -143,7 +151,7 @@
 		poolFull := errors.As(err, &limit)
 		reset := errors.Is(err, syscall.ECONNRESET)
 		return Outcome{
-			Verdict: NotRun, ConnectFailed: !poolFull && !reset && ctx.Err() == nil, OverConnectionLimit: reset,
+			Verdict: NotRun, PoolFull: poolFull, ConnectFailed: !poolFull && !reset && ctx.Err() == nil, OverConnectionLimit: reset,
 			Cancelled: errors.Is(ctx.Err(), context.Canceled), Cause: err, ServiceTime: time.Since(start),
 		}
 	}
@@ -172,7 +180,7 @@
 	defer stop()
 	out, reusable := a.roundTrip(c)
 	if out.Cause != nil {
-		out.Cancelled = errors.Is(ctx.Err(), context.Canceled)
+		out.Cancelled = !out.Unreachable && errors.Is(ctx.Err(), context.Canceled)
 		out.TimedOut = !out.Cancelled && isTimeout(out.Cause)
 		out.ConnectionLost = out.ConnectionLost && !out.Cancelled && !out.TimedOut
 		out.OverConnectionLimit = out.ConnectionLost && !c.Reused
@@ -201,7 +209,15 @@
 	if err != nil {
 		return Outcome{Verdict: Unknown, ConnectionLost: true, Cause: err}, false
 	}
+	if len(a.request.body) > asyncBodyBytes {
+		out, reusable := a.receive(c)
+		return out, reusable && bodyWritten(written)
+	}
+	watch := startAckWatch(c, a.unacked)
 	out, reusable := a.receive(c)
+	if watch.stop() && out.Cause != nil {
+		return Outcome{Verdict: Unknown, Unreachable: true, Cause: &UnreachableError{}}, false
+	}
 	return out, reusable && bodyWritten(written)
 }
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -138,6 +138,14 @@
 	tried []*backend
 	// nonIdempotent means that the request must not run twice.
 	nonIdempotent bool
+	// objective is when the response should be there. Targets whose queue is too long
+	// for that are left out. If zero, none are.
+	objective time.Time
+}
+
+// overrun reports whether a target's queue is too long.
+func (crit *criteria) overrun(c *candidate, now time.Time) bool {
+	return !crit.objective.IsZero() && c.overrun(crit.median, crit.objective.Sub(now))
 }
 
 // choose selects the target of a service with the lowest cost and counts the
@@ -148,7 +156,7 @@
 	var best *selection
 	bestIsProbe := false
 	for _, b := range f.byService[crit.service] {
-		if !f.usable(b, now) || b.connLimitReached(now) || contains(crit.tried, b) {
+		if !f.usable(b, now) || b.connLimitReached(now) || contains(crit.tried, b) || !b.pool.HasRoom() {
 			continue
 		}
 		c := b.candidate(now, b.target.DataCentre == f.dataCentre)
@@ -156,6 +164,9 @@
 		if probe {
 			c.slowness, c.failureRate = minSlowness, 0
 		}
+		if !probe && crit.overrun(&c, now) {
+			continue
+		}
 		estimate := cost(&c, crit.median)
 		estimate += time.Duration(rand.Float64() * costJitter * float64(crit.median))
 		if best == nil || estimate < best.cost {
@@ -185,6 +196,19 @@
 	return false
 }
 
+// hasBusy reports whether a service for which choose found no target has some that are
+// only too busy: their queue is long, or this router has no connection free.
+func (f *fleet) hasBusy(crit *criteria, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.byService[crit.service] {
+		if f.usable(b, now) && !contains(crit.tried, b) {
+			return true
+		}
+	}
+	return false
+}
+
 func contains(list []*backend, b *backend) bool {
 	for _, x := range list {
 		if x == b {
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -16,7 +16,10 @@
 	lastHedgeFactor = 1
 	// lingerTime is how long attempts still in flight continue after the response
 	// is written, so that their connections can be reused.
-	lingerTime = 400 * time.Millisecond
+	lingerTime = 200 * time.Millisecond
+	// busyWait is the time between two tries to send a shard whose targets all have a
+	// long queue or no connection free.
+	busyWait = 12 * time.Millisecond
 )
 
 // gathering is one request to all shards of a route.
@@ -48,6 +51,10 @@
 	results chan *result
 	// replies are what other routers sent.
 	replies chan memberReply
+	// free fires when shards that wait for a target are tried again, and waiting
+	// means that it is set.
+	free    *time.Timer
+	waiting bool
 }
 
 // gather answers a request that goes to one target of each shard.
@@ -87,6 +94,7 @@
 		server: s, req: req, median: median, late: late,
 		calls: make([]*call, n), handedOver: make([]*handOver, n), signatures: make([]string, n),
 		results: make(chan *result, n*(req.route.Attempts+maxRejections+1)),
+		free:    time.NewTimer(time.Hour),
 	}
 }
 
@@ -122,7 +130,7 @@
 	for _, shard := range shards {
 		c := &call{
 			server: g.server, req: g.req, service: g.req.route.Gather.Shards[shard], median: g.median,
-			attempts: attempts, repeat: repeat,
+			attempts: attempts, repeat: repeat, objective: g.objective,
 		}
 		g.calls[shard], g.handedOver[shard] = c, nil
 		c.start(ctx, shard, g.results, urgencyHigh, false)
@@ -141,6 +149,7 @@
 	defer hedge.Stop()
 	memberDue := time.NewTimer(acceptTime(g.req.route))
 	defer memberDue.Stop()
+	defer g.free.Stop()
 	minParts := g.req.route.Gather.MinParts()
 	lastHedge := g.objective.Add(-lastHedgeFactor * g.late)
 	objectivePassed := false
@@ -148,6 +157,7 @@
 		if objectivePassed && g.received >= minParts {
 			return reasonNone
 		}
+		g.awaitTargets()
 		select {
 		case r := <-g.results:
 			g.handleResult(ctx, r)
@@ -159,6 +169,8 @@
 			}
 		case <-hedge.C:
 			g.hedgeOnTime(ctx, hedge, lastHedge)
+		case <-g.free.C:
+			g.retryWaiting(ctx)
 		case <-objectiveTimer.C:
 			objectivePassed = true
 		case <-deadline.C:
@@ -186,6 +198,30 @@
 	}
 }
 
+// awaitTargets sets the timer if a shard waits for a busy target.
+func (g *gathering) awaitTargets() {
+	if g.waiting {
+		return
+	}
+	for _, c := range g.calls {
+		if c != nil && c.waiting {
+			g.waiting = true
+			g.free.Reset(busyWait)
+			return
+		}
+	}
+}
+
+// retryWaiting tries the shards again that wait for a busy target.
+func (g *gathering) retryWaiting(ctx context.Context) {
+	g.waiting = false
+	for i, c := range g.calls {
+		if c != nil && c.waiting {
+			c.start(ctx, i, g.results, urgencyHigh, false)
+		}
+	}
+}
+
 // possibleParts returns the number of parts that are received or may still be.
 func (g *gathering) possibleParts() int {
 	n := 0
@@ -202,7 +238,7 @@
 	if h := g.handedOver[shard]; h != nil {
 		return h.open
 	}
-	return g.calls[shard] != nil && g.calls[shard].inFlight > 0
+	return g.calls[shard] != nil && (g.calls[shard].inFlight > 0 || g.calls[shard].waiting)
 }
 
 // anyInFlight reports whether an attempt is in flight.
--- a/forward/gather_test.go
+++ b/forward/gather_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,6 +98,33 @@
 	}
 }
 
+// A shard whose targets' connections are all in use must wait for one that becomes
+// free, instead of being left out at once. The load is several gathers at the same
+// time whose shard has slow targets with two connections each.
+func TestGatherWaitsForConnection(t *testing.T) {
+	names, targets, entries := startShards(t, 3)
+	for _, s := range targets[:2] {
+		s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
+			time.Sleep(40 * time.Millisecond)
+			s.ok(c, r, partBody(0))
+		}
+	}
+	table := testTable(names...)
+	table.Services["s0"] = route.Service{Name: "s0", HealthPath: "/health", MaxConnections: 2}
+	table.Routes[2].Attempts = 1
+	f := newTestServer(t, table, entries...)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			got := f.send(http.MethodGet, "/all/x", "", fmt.Sprint("wait-", i), 2000)
+			if got.status != http.StatusOK || got.header.Get("Missing") != "0" {
+				t.Errorf("status %d, missing %q", got.status, got.header.Get("Missing"))
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // If a target refuses its part, the shard's other target is used within the same
 // request.
 func TestGatherRetriesRefusedPart(t *testing.T) {
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -117,9 +117,10 @@
 	work, cancel := context.WithDeadline(context.WithoutCancel(stop), req.deadline)
 	defer time.AfterFunc(lingerTime, cancel)
 	g := s.newGathering(req)
-	g.hedgeFloor = time.Duration(q.GetHedgeAfterUs()) * time.Microsecond //nolint:gosec // Durations of requests.
-	g.startShards(work, allShards(len(g.calls)), req.route.Attempts, q.GetRepeat())
+	g.hedgeFloor = time.Duration(q.GetHedgeAfterUs()) * time.Microsecond              //nolint:gosec // Durations of requests.
 	answerBy := received.Add(time.Duration(q.GetAnswerWithinUs()) * time.Microsecond) //nolint:gosec // Durations of requests.
+	g.objective = answerBy
+	g.startShards(work, allShards(len(g.calls)), req.route.Attempts, q.GetRepeat())
 	g.stream(work, stop, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
 	s.logPartsServed(req, g, q.GetEntry(), q.GetRepeat())
 }
@@ -159,7 +160,9 @@
 	hedge := time.NewTimer(g.hedgeDelay())
 	defer hedge.Stop()
 	lastHedge := answerBy.Add(-lastHedgeFactor * g.late)
+	defer g.free.Stop()
 	for g.received < len(g.calls) && g.anyInFlight() {
+		g.awaitTargets()
 		select {
 		case r := <-g.results:
 			before := g.received
@@ -169,6 +172,8 @@
 			}
 		case <-hedge.C:
 			g.hedgeOnTime(work, hedge, lastHedge)
+		case <-g.free.C:
+			g.retryWaiting(work)
 		case <-answer.C:
 			send(pb.PartsStatus_PARTS_STATUS_MORE)
 		case <-work.Done():
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -69,6 +69,8 @@
 	took   time.Duration
 	cause  error
 	step   handOverStep
+	// waiting means that the request waits for a busy target.
+	waiting bool
 	// missing describes the shards of which the other router got no part.
 	missing []string
 }
@@ -144,6 +146,8 @@
 			attrs = append(attrs, "service", string(d.service))
 		}
 		switch d.msg {
+		case msgNoTarget:
+			attrs = append(attrs, "waiting", d.waiting)
 		case msgHandedOver:
 			attrs = append(attrs, "member", d.target, "shards", d.shards, "repeat", d.repeat)
 		case msgPartsReceived:
--- a/forward/server.go
+++ b/forward/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/peridotmux/peridotmux/board"
 	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/internal/response"
 	"github.com/peridotmux/peridotmux/outlier"
 	"github.com/peridotmux/peridotmux/route"
@@ -73,9 +74,11 @@
 	sharedParts atomic.Int64
 	// responseMemory bounds the bodies of the responses that are being read.
 	responseMemory *response.Memory
-	table          atomic.Pointer[route.Table]
-	sequences      sync.Map // of route.Name to *atomic.Uint64
-	active         atomic.Int64
+	// unacked reports whether a target's host hasn't acknowledged all that was sent.
+	unacked   func(*connpool.Conn) bool
+	table     atomic.Pointer[route.Table]
+	sequences sync.Map // of route.Name to *atomic.Uint64
+	active    atomic.Int64
 	// noKeepAlives makes responses carry "Connection: close".
 	noKeepAlives atomic.Bool
 }
@@ -88,7 +91,7 @@
 	s := &Server{
 		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
-		members: newMembers(c.Log),
+		members: newMembers(c.Log), unacked: (*connpool.Conn).Unacked,
 	}
 	s.resume = newResumeGate(c.Confirmed, time.Now())
 	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -255,6 +257,13 @@
 	return len(p.idle)
 }
 
+// HasRoom reports whether a connection is idle or another one may be opened.
+func (p *Pool) HasRoom() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || p.open < p.maxConnections
+}
+
 // Trim closes the connections that have been idle since before idleBefore. For
 // the one that was put back last, lastIdleBefore applies instead. Now and then it
 // also closes those that the target closed or sent unsolicited bytes on, which
@@ -345,6 +354,22 @@
 	return err == nil && open
 }
 
+// Unacked reports whether the target's host hasn't acknowledged all bytes written to
+// c. It must not be called after Put or Close.
+func (c *Conn) Unacked() bool {
+	if c.raw == nil {
+		return false
+	}
+	unacked := 0
+	err := c.raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err == nil {
+			unacked = n
+		}
+	})
+	return err == nil && unacked > 0
+}
+
 // closingSuspicious reports whether the closing of this idle connection is a sign
 // that the target restarted. It isn't after the time that the target announced, nor
 // before a first response, when that time is unknown.
