Let members use further attempts only after the entry committed itself

Found by reading: a member that accepted shards might hedge after 18 to 33 ms while the entry, whose accept message or withdrawal was delayed (lost packets, a slow member), handed the shards to another member. A request then ran at three targets of a shard whose route allows two.

Change: a member uses one attempt a shard until the entry says proceed, which it does when the time to accept has passed; from then on the entry hands the shards to nobody else. Retries that were held back are made up for. The minimum time until hedges at members is gone.

Tests: TestMemberWaitsForEntryBeforeFurtherAttempts fails if members use all attempts at once; TestNextStepOfHandOver.

--- a/forward/call.go
+++ b/forward/call.go
@@ -60,8 +60,13 @@
 	objective  time.Time
 	waiting    bool
 	rejectedBy []*backend
+	// heldBack means that a retry waits until more attempts are allowed.
+	heldBack bool
 }
 
+// pending reports whether the call may still get an answer.
+func (c *call) pending() bool { return c.inFlight > 0 || c.waiting || c.heldBack }
+
 // sendState tracks whether an attempt was sent, so that it can be withdrawn before
 // that. It is safe for concurrent use.
 type sendState struct{ state atomic.Uint32 }
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -42,8 +42,8 @@
 	// median is the usual service time, and late the one above which an attempt counts
 	// as late.
 	median, late time.Duration
-	// hedgeFloor is the minimum time until shards are hedged.
-	hedgeFloor time.Duration
+	// hedging means that late shards are hedged from now on.
+	hedging bool
 	// objective is when the response should be written.
 	objective time.Time
 	// runs is the number of attempts that targets may have run.
@@ -104,7 +104,6 @@
 	plan := g.server.fleet.planFor(g.req.route.Gather)
 	messages := len(own)
 	if plan != nil {
-		g.hedgeFloor = acceptTime(g.req.route) + hedgeMargin
 		messages = len(plan.cells)
 	}
 	g.objective = g.req.received.Add(g.req.route.Objective - g.req.allowance - fanOutTime(messages, g.server.cfg.LinkBitsPerSecond))
@@ -145,7 +144,7 @@
 	defer objectiveTimer.Stop()
 	deadline := time.NewTimer(time.Until(g.req.deadline))
 	defer deadline.Stop()
-	hedge := time.NewTimer(g.hedgeDelay())
+	hedge := time.NewTimer(hedgeDelay(g.req.route, g.late))
 	defer hedge.Stop()
 	memberDue := time.NewTimer(acceptTime(g.req.route))
 	defer memberDue.Stop()
@@ -182,14 +181,10 @@
 	return reasonCoverage
 }
 
-// hedgeDelay returns how long first attempts may be in flight before a hedge.
-func (g *gathering) hedgeDelay() time.Duration {
-	return max(hedgeDelay(g.req.route, g.late), g.hedgeFloor)
-}
-
 // hedgeOnTime hedges when the timer fires: the first time those that are late, and at
 // lastHedge those that the budget didn't allow earlier.
 func (g *gathering) hedgeOnTime(ctx context.Context, timer *time.Timer, lastHedge time.Time) {
+	g.hedging = true
 	g.hedgeAll(ctx, urgencyLow)
 	timer.Reset(time.Until(lastHedge))
 	if !time.Now().Before(lastHedge) {
@@ -222,6 +217,24 @@
 	}
 }
 
+// allowAttempts raises the number of targets of a shard that may run the request, and
+// makes up for the retries and hedges that were held back.
+func (g *gathering) allowAttempts(ctx context.Context, attempts int) {
+	for i, c := range g.calls {
+		if c == nil {
+			continue
+		}
+		c.attempts = attempts
+		if c.heldBack {
+			c.heldBack = false
+			c.start(ctx, i, g.results, g.retryUrgency(), false)
+		}
+	}
+	if g.hedging {
+		g.hedgeAll(ctx, urgencyLow)
+	}
+}
+
 // possibleParts returns the number of parts that are received or may still be.
 func (g *gathering) possibleParts() int {
 	n := 0
@@ -238,7 +251,7 @@
 	if h := g.handedOver[shard]; h != nil {
 		return h.open
 	}
-	return g.calls[shard] != nil && (g.calls[shard].inFlight > 0 || g.calls[shard].waiting)
+	return g.calls[shard] != nil && g.calls[shard].pending()
 }
 
 // anyInFlight reports whether an attempt is in flight.
@@ -278,8 +291,11 @@
 		g.bodies = append(g.bodies, r.outcome.Body)
 		return
 	}
-	if retry {
+	switch {
+	case retry:
 		c.start(ctx, r.shard, g.results, g.retryUrgency(), false)
+	case c.inFlight == 0 && c.attempts < g.req.route.Attempts && c.rejections <= maxRejections:
+		c.heldBack = true
 	}
 }
 
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -14,9 +14,6 @@
 	acceptShare   = 0.3
 	minAcceptTime = 15 * time.Millisecond
 	maxAcceptTime = 30 * time.Millisecond
-	// hedgeMargin is how much later than the time to accept a member may hedge. A
-	// request that was withdrawn from it then ran at one target of a shard at most.
-	hedgeMargin = 3 * time.Millisecond
 	// replyMargin is the time before the entry's own objective at which members send
 	// the parts received so far.
 	replyMargin = 5 * time.Millisecond
@@ -43,12 +40,17 @@
 	accepted, reported bool
 	// repeat means that an earlier member may have sent the shards.
 	repeat bool
-	// attempts is the number of targets of a shard that may run the request.
+	// committed means that this router told the member that it may use all attempts,
+	// and so can't hand the shards to another one.
+	committed bool
+	// attempts is the number of targets of a shard that may still run the request.
 	attempts int
 	// runs is the number of attempts that the member reported as possibly run.
 	runs int
-	// stop withdraws the shards from the current member.
-	stop context.CancelFunc
+	// proceed lets the member use all attempts when it is closed, and stop withdraws
+	// the shards from it.
+	proceed chan struct{}
+	stop    context.CancelFunc
 }
 
 // memberReply is what a member sent, or how asking it failed.
@@ -81,17 +83,22 @@
 	stepSelf
 )
 
+// attemptsAtOnce is the number of targets of a shard to which a member may send a
+// request before the entry commits itself to that member.
+const attemptsAtOnce = 1
+
 // next decides what follows after the current member failed. If nothing was sent to
 // it, the shards go elsewhere as if it hadn't been asked. Otherwise it may have sent
-// them: they go elsewhere once, with one attempt less, and only while the member can't
-// have hedged yet, so that no request runs at more targets than its route allows.
-func (h *handOver) next(notSent bool, waited, hedgeAfter time.Duration) handOverStep {
+// them: they go elsewhere once, with its attempt taken off, and only if it wasn't
+// allowed to use further ones, so that no request runs at more targets than its route
+// allows, however late the member learns that the shards were withdrawn.
+func (h *handOver) next(notSent bool) handOverStep {
 	if !notSent {
-		if h.repeat || h.attempts < 2 || h.accepted && waited >= hedgeAfter {
+		if h.repeat || h.committed || h.attempts <= attemptsAtOnce {
 			return stepGiveUp
 		}
 		h.repeat = true
-		h.attempts--
+		h.attempts -= attemptsAtOnce
 	}
 	if len(h.untried) == 0 {
 		return stepSelf
@@ -99,18 +106,26 @@
 	return stepNext
 }
 
-// dueAt returns when the member must have answered, zero if there is no such time.
+// dueAt returns when the hand-over is looked at next, zero if there is no such time: a
+// member must have accepted the shards soon, may proceed then, and must have sent
+// parts, or that it has none, by the objective.
 func (h *handOver) dueAt(accept time.Duration, objective time.Time) time.Time {
 	switch {
-	case !h.open || h.reported:
+	case !h.open || h.reported && (h.committed || h.repeat):
 		return time.Time{}
-	case h.accepted:
+	case h.accepted && (h.committed || h.repeat):
 		return objective.Add(silenceMargin)
 	default:
 		return h.sentAt.Add(accept)
 	}
 }
 
+// commit lets the member use all attempts.
+func (h *handOver) commit() {
+	h.committed = true
+	close(h.proceed)
+}
+
 // handOverAll hands the shards of each cell to a member of it. It returns the shards
 // that this router asks itself.
 func (g *gathering) handOverAll(ctx context.Context, plan *cellPlan) []int {
@@ -144,9 +159,10 @@
 	h.asked, h.untried = h.untried[0], h.untried[1:]
 	h.try++
 	h.sentAt, h.accepted, h.reported = time.Now(), false, false
+	h.proceed = make(chan struct{})
 	ask := &memberCall{
 		members: g.server.members, member: h.asked, message: g.partsRequest(h),
-		from: h, try: h.try, replies: g.replies,
+		from: h, try: h.try, proceed: h.proceed, replies: g.replies,
 	}
 	g.req.trace.add(decision{msg: msgHandedOver, at: h.sentAt, target: string(h.asked.vm), shards: len(h.shards), repeat: h.repeat})
 	askCtx, stop := context.WithCancel(ctx)
@@ -163,7 +179,7 @@
 		Route: string(req.route.Name), TableVersion: req.table.Version,
 		Top: uint32(req.route.Gather.TopK), MinCoverage: req.route.Gather.MinCoverage, Attempts: uint32(h.attempts), //nolint:gosec // Small.
 		ObjectiveUs: microseconds(req.route.Objective), TimeLeftUs: microseconds(time.Until(req.deadline)),
-		AnswerWithinUs: microseconds(time.Until(g.objective) - replyMargin), HedgeAfterUs: microseconds(acceptTime(req.route) + hedgeMargin),
+		AnswerWithinUs: microseconds(time.Until(g.objective) - replyMargin), AttemptsAtOnce: attemptsAtOnce,
 		Repeat: h.repeat,
 	}
 	for _, shard := range h.shards {
@@ -237,7 +253,7 @@
 	h.stop()
 	waited := time.Since(h.sentAt)
 	g.server.members.recordFailure(h.asked, h.sentAt, cause, time.Now())
-	step := h.next(notSent, waited, acceptTime(g.req.route)+hedgeMargin)
+	step := h.next(notSent)
 	g.req.trace.add(decision{
 		msg: msgMemberFailed, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: waited, cause: cause, step: step,
 	})
@@ -268,15 +284,19 @@
 	}
 }
 
-// checkMembers replaces the members that didn't answer in time, and returns when the
-// next one must have answered, zero if none.
+// checkMembers replaces the members that didn't answer in time and lets the others
+// proceed. It returns when to look at the next one, zero if there is none.
 func (g *gathering) checkMembers(ctx context.Context, now time.Time) time.Time {
 	accept := acceptTime(g.req.route)
 	var next time.Time
 	for _, h := range g.handOvers {
 		due := h.dueAt(accept, g.objective)
 		if !due.IsZero() && !due.After(now) {
-			g.replace(ctx, h, false, &MemberSilentError{})
+			if h.accepted && !h.committed && !h.repeat {
+				h.commit()
+			} else {
+				g.replace(ctx, h, false, &MemberSilentError{})
+			}
 			due = h.dueAt(accept, g.objective)
 		}
 		if !due.IsZero() && (next.IsZero() || due.Before(next)) {
--- a/forward/members.go
+++ b/forward/members.go
@@ -122,6 +122,8 @@
 	message *pb.PartsRequest
 	from    *handOver
 	try     int
+	// proceed is closed when the member may use all attempts.
+	proceed <-chan struct{}
 	replies chan<- memberReply
 }
 
@@ -136,6 +138,7 @@
 		c.replies <- memberReply{from: c.from, try: c.try, notSent: true, cause: err}
 		return
 	}
+	proceed := c.proceed
 	for {
 		select {
 		case r := <-exchange.Replies:
@@ -146,8 +149,12 @@
 		case <-exchange.Lost:
 			c.passLoss(exchange)
 			return
+		case <-proceed:
+			exchange.Send(&pb.PartsRequest{Proceed: true})
+			proceed = nil
 		case <-ctx.Done():
-			exchange.Cancel()
+			exchange.Send(&pb.PartsRequest{Cancel: true})
+			exchange.Finish()
 			return
 		}
 	}
@@ -162,7 +169,7 @@
 
 // passLoss passes the replies on that came before the connection was lost, and then
 // the loss, unless the last reply was among them.
-func (c *memberCall) passLoss(exchange *rpc.Exchange[*pb.PartsReply]) {
+func (c *memberCall) passLoss(exchange *rpc.PartsExchange) {
 	defer exchange.Finish()
 	for {
 		select {
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -32,7 +32,7 @@
 
 // Exchange serves one router until the stream ends.
 func (p *PartsServer) Exchange(stream pb.DRPCParts_ExchangeStream) error {
-	x := &partsExchange{server: p.server, stops: make(map[uint64]context.CancelFunc)}
+	x := &partsExchange{server: p.server, active: make(map[uint64]*sharedRequest)}
 	return rpc.ServeBatches(stream.Context(), stream, rpc.PartsCodec, x.handle)
 }
 
@@ -41,14 +41,25 @@
 	server *Server
 
 	mu sync.Mutex
-	// stops holds the function that withdraws each request by its id.
-	stops map[uint64]context.CancelFunc
+	// active holds the requests in progress by their ids.
+	active map[uint64]*sharedRequest
+}
+
+// sharedRequest is a request of another router that is in progress.
+type sharedRequest struct {
+	// stop withdraws it, and proceed, when closed, allows all attempts.
+	stop    context.CancelFunc
+	proceed chan struct{}
 }
 
 func (x *partsExchange) handle(ctx context.Context, q *pb.PartsRequest, reply func(*pb.PartsReply)) {
-	if q.GetCancel() {
+	switch {
+	case q.GetCancel():
 		x.stop(q.GetId())
 		return
+	case q.GetProceed():
+		x.proceed(q.GetId())
+		return
 	}
 	received := time.Now()
 	if reason := x.server.refuseParts(q, received); reason != "" {
@@ -60,24 +71,36 @@
 	reply(&pb.PartsReply{Id: q.GetId(), Status: pb.PartsStatus_PARTS_STATUS_ACCEPTED})
 	x.server.sharedParts.Add(int64(len(q.GetShards())))
 	ctx, stop := context.WithCancel(ctx)
+	proceed := make(chan struct{})
 	x.mu.Lock()
-	x.stops[q.GetId()] = stop
+	x.active[q.GetId()] = &sharedRequest{stop: stop, proceed: proceed}
 	x.mu.Unlock()
 	x.server.workers.run(func() {
 		defer x.server.sharedParts.Add(-int64(len(q.GetShards())))
 		defer x.stop(q.GetId())
-		x.server.serveParts(ctx, q, received, reply)
+		x.server.serveParts(ctx, q, received, proceed, reply)
 	})
 }
 
 // stop withdraws a request. It does nothing if the request isn't in progress.
 func (x *partsExchange) stop(id uint64) {
 	x.mu.Lock()
-	stop := x.stops[id]
-	delete(x.stops, id)
+	r := x.active[id]
+	delete(x.active, id)
 	x.mu.Unlock()
-	if stop != nil {
-		stop()
+	if r != nil {
+		r.stop()
+	}
+}
+
+// proceed allows all attempts of a request. It does nothing if the request isn't in
+// progress or has them already.
+func (x *partsExchange) proceed(id uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if r := x.active[id]; r != nil && r.proceed != nil {
+		close(r.proceed)
+		r.proceed = nil
 	}
 }
 
@@ -86,7 +109,7 @@
 func (s *Server) refuseParts(q *pb.PartsRequest, now time.Time) string {
 	table := s.table.Load()
 	switch {
-	case len(q.GetShards()) == 0 || q.GetTop() == 0 || q.GetTimeLeftUs() == 0 || q.GetAttempts() == 0:
+	case len(q.GetShards()) == 0 || q.GetTop() == 0 || q.GetTimeLeftUs() == 0 || q.GetAttempts() == 0 || q.GetAttemptsAtOnce() == 0:
 		return refusedBadAsk
 	case s.noKeepAlives.Load():
 		return refusedLeaving
@@ -107,7 +130,8 @@
 
 // serveParts sends a request to some shards and replies with their parts: once with
 // those received when the entry needs them, and then with each one as it comes.
-func (s *Server) serveParts(stop context.Context, q *pb.PartsRequest, received time.Time, reply func(*pb.PartsReply)) {
+// proceed is closed when the entry allows all attempts.
+func (s *Server) serveParts(stop context.Context, q *pb.PartsRequest, received time.Time, proceed <-chan struct{}, reply func(*pb.PartsReply)) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	req := s.partsRequest(q, received)
@@ -117,11 +141,10 @@
 	work, cancel := context.WithDeadline(context.WithoutCancel(stop), req.deadline)
 	defer time.AfterFunc(lingerTime, cancel)
 	g := s.newGathering(req)
-	g.hedgeFloor = time.Duration(q.GetHedgeAfterUs()) * time.Microsecond              //nolint:gosec // Durations of requests.
 	answerBy := received.Add(time.Duration(q.GetAnswerWithinUs()) * time.Microsecond) //nolint:gosec // Durations of requests.
 	g.objective = answerBy
-	g.startShards(work, allShards(len(g.calls)), req.route.Attempts, q.GetRepeat())
-	g.stream(work, stop, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
+	g.startShards(work, allShards(len(g.calls)), min(int(q.GetAttemptsAtOnce()), req.route.Attempts), q.GetRepeat())
+	g.stream(work, stop, proceed, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
 	s.logPartsServed(req, g, q.GetEntry(), q.GetRepeat())
 }
 
@@ -153,11 +176,12 @@
 
 // stream collects parts and sends them: at answerBy those received so far, after it
 // each one as it comes, and the rest when nothing is in flight any more. The end of
-// stop means that no more parts are needed.
-func (g *gathering) stream(work, stop context.Context, answerBy time.Time, send func(pb.PartsStatus)) {
+// stop means that no more parts are needed, and the closing of proceed that all
+// attempts may be used.
+func (g *gathering) stream(work, stop context.Context, proceed <-chan struct{}, answerBy time.Time, send func(pb.PartsStatus)) {
 	answer := time.NewTimer(time.Until(answerBy))
 	defer answer.Stop()
-	hedge := time.NewTimer(g.hedgeDelay())
+	hedge := time.NewTimer(hedgeDelay(g.req.route, g.late))
 	defer hedge.Stop()
 	lastHedge := answerBy.Add(-lastHedgeFactor * g.late)
 	defer g.free.Stop()
@@ -174,6 +198,9 @@
 			g.hedgeOnTime(work, hedge, lastHedge)
 		case <-g.free.C:
 			g.retryWaiting(work)
+		case <-proceed:
+			proceed = nil
+			g.allowAttempts(work, g.req.route.Attempts)
 		case <-answer.C:
 			send(pb.PartsStatus_PARTS_STATUS_MORE)
 		case <-work.Done():
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,6 +96,14 @@
 	c.servers = append(c.servers, f)
 }
 
+// denyExtraArrivals leaves no budget for hedges, retries and repeats, so that a shard
+// that is asked twice, or needs to be, shows.
+func (c *cluster) denyExtraArrivals() {
+	for _, s := range c.servers {
+		s.budget = newBudget(BudgetLimits{Window: 10 * time.Second})
+	}
+}
+
 // askedByEntry returns the member that server 0 asks first for the cell that it isn't
 // in.
 func (c *cluster) askedByEntry(t *testing.T) member {
@@ -164,6 +173,7 @@
 // different routers, each shard being asked once.
 func TestGatherIsDividedAmongRouters(t *testing.T) {
 	c := startCluster(t, 8)
+	c.denyExtraArrivals()
 	for i := range 20 {
 		id := fmt.Sprint("divided-", i)
 		c.checkComplete(t, c.servers[i%8].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
@@ -205,7 +215,7 @@
 	for j := range 4 {
 		id := fmt.Sprint("silent-", j)
 		start := time.Now()
-		c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
+		c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", id, 1500), id, c.table.Routes[2].Attempts)
 		if took := time.Since(start); took > 300*time.Millisecond {
 			t.Errorf("request %s took %v, over its objective", id, took)
 		}
@@ -219,6 +229,7 @@
 // without an extra arrival.
 func TestLeavingMemberRefusesShards(t *testing.T) {
 	c := startCluster(t, 8)
+	c.denyExtraArrivals()
 	leaving := c.servers[c.indexOf(c.askedByEntry(t).vm)]
 	leaving.DisableKeepAlives()
 	for j := range 4 {
@@ -233,6 +244,7 @@
 // Without any other router that answers, the entry must ask all shards itself.
 func TestEntryAsksItselfWithoutMembers(t *testing.T) {
 	c := startCluster(t, 8)
+	c.denyExtraArrivals()
 	for i, stop := range c.stops[1:] {
 		stop()
 		_ = c.listeners[i+1].Close()
@@ -306,24 +318,22 @@
 // shards, and no shard may get more attempts than its route allows.
 func TestNextStepOfHandOver(t *testing.T) {
 	some := []member{{vm: "b"}}
-	const after = 20 * time.Millisecond
 	for name, c := range map[string]struct {
 		h        handOver
 		notSent  bool
-		waited   time.Duration
 		want     handOverStep
 		attempts int
 		repeat   bool
 	}{
 		"not sent":                       {h: handOver{attempts: 2, untried: some}, notSent: true, want: stepNext, attempts: 2},
 		"not sent, nobody left":          {h: handOver{attempts: 2}, notSent: true, want: stepSelf, attempts: 2},
-		"silent":                         {h: handOver{attempts: 2, untried: some}, waited: after, want: stepNext, attempts: 1, repeat: true},
-		"silent, one attempt":            {h: handOver{attempts: 1, untried: some}, waited: after, want: stepGiveUp, attempts: 1},
-		"silent twice":                   {h: handOver{attempts: 1, untried: some, repeat: true}, waited: after, want: stepGiveUp, attempts: 1, repeat: true},
-		"lost before it can have hedged": {h: handOver{attempts: 2, accepted: true}, waited: after - 1, want: stepSelf, attempts: 1, repeat: true},
-		"lost later":                     {h: handOver{attempts: 2, accepted: true, untried: some}, waited: after, want: stepGiveUp, attempts: 2},
+		"silent":                         {h: handOver{attempts: 2, untried: some}, want: stepNext, attempts: 1, repeat: true},
+		"silent, one attempt":            {h: handOver{attempts: 1, untried: some}, want: stepGiveUp, attempts: 1},
+		"silent twice":                   {h: handOver{attempts: 1, untried: some, repeat: true}, want: stepGiveUp, attempts: 1, repeat: true},
+		"lost before it may hedge":       {h: handOver{attempts: 2, accepted: true}, want: stepSelf, attempts: 1, repeat: true},
+		"lost after it was committed to": {h: handOver{attempts: 2, accepted: true, committed: true, untried: some}, want: stepGiveUp, attempts: 2},
 	} {
-		if got := c.h.next(c.notSent, c.waited, after); got != c.want || c.h.attempts != c.attempts || c.h.repeat != c.repeat {
+		if got := c.h.next(c.notSent); got != c.want || c.h.attempts != c.attempts || c.h.repeat != c.repeat {
 			t.Errorf("%s: %v, %d attempts, repeat %v", name, got, c.h.attempts, c.h.repeat)
 		}
 	}
@@ -337,10 +347,10 @@
 	s.budget = newBudget(BudgetLimits{Ratio: 0, Slack: 0, Window: 10 * time.Second})
 	var replies []*pb.PartsReply
 	q := &pb.PartsRequest{
-		Id: 1, RequestId: "repeated", Method: "GET", Uri: "/all/x", Host: "h", Route: "all", Top: 3, Attempts: 1,
+		Id: 1, RequestId: "repeated", Method: "GET", Uri: "/all/x", Host: "h", Route: "all", Top: 3, Attempts: 1, AttemptsAtOnce: 1,
 		ObjectiveUs: 300_000, TimeLeftUs: 1_000_000, AnswerWithinUs: 200_000, Repeat: true, Shards: []string{"s0", "s1"},
 	}
-	s.serveParts(context.Background(), q, time.Now(), func(r *pb.PartsReply) { replies = append(replies, r) })
+	s.serveParts(context.Background(), q, time.Now(), nil, func(r *pb.PartsReply) { replies = append(replies, r) })
 	if n := len(c.arrivals("repeated")); n != 0 {
 		t.Errorf("%d shards asked beyond the budget", n)
 	}
@@ -355,7 +365,7 @@
 	c := startCluster(t, 8)
 	s := c.servers[0]
 	good := func() *pb.PartsRequest {
-		return &pb.PartsRequest{Shards: []string{"s0"}, Top: 1, TimeLeftUs: 1, Attempts: 1}
+		return &pb.PartsRequest{Shards: []string{"s0"}, Top: 1, TimeLeftUs: 1, Attempts: 1, AttemptsAtOnce: 1}
 	}
 	unknown := good()
 	unknown.Shards = []string{"s0", "new"}
@@ -377,3 +387,56 @@
 		t.Error("after a pause: ", got)
 	}
 }
+
+// Until the entry has committed itself to a member, the member must use one attempt a
+// shard, however slow or faulty the targets are, since the entry may have handed the
+// shards to another one. Afterwards it must retry and hedge what it held back.
+func TestMemberWaitsForEntryBeforeFurtherAttempts(t *testing.T) {
+	for name, fail := range map[string]func(net.Conn){
+		"slow":   func(net.Conn) { time.Sleep(400 * time.Millisecond) },
+		"faulty": func(c net.Conn) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, 8)
+			s := c.servers[0]
+			var asked sync.Map
+			for _, target := range c.targets[:4] {
+				target.answer = func(conn net.Conn, r *http.Request, _ []byte, _ int) {
+					if _, second := asked.LoadOrStore(string(target.service), true); second {
+						target.ok(conn, r, "second")
+						return
+					}
+					fail(conn)
+				}
+			}
+			q := &pb.PartsRequest{
+				Id: 1, RequestId: name, Method: "GET", Uri: "/all/x", Host: "h", Route: "all", Top: 3, Attempts: 2, AttemptsAtOnce: 1,
+				ObjectiveUs: 300_000, TimeLeftUs: 1_000_000, AnswerWithinUs: 600_000, Shards: []string{"s0", "s1"},
+			}
+			proceed := make(chan struct{})
+			time.AfterFunc(200*time.Millisecond, func() {
+				for service, n := range c.arrivals(name) {
+					if n != 1 {
+						t.Errorf("%d targets of %s were asked before the entry committed itself", n, service)
+					}
+				}
+				close(proceed)
+			})
+			parts := 0
+			s.serveParts(context.Background(), q, time.Now(), proceed, func(r *pb.PartsReply) { parts += len(r.GetShards()) })
+			select {
+			case <-proceed:
+			default:
+				t.Error("further attempts were used before the entry committed itself")
+			}
+			if parts != 2 {
+				t.Errorf("%d parts", parts)
+			}
+			for service, n := range c.arrivals(name) {
+				if n != 2 {
+					t.Errorf("%d targets of %s were asked", n, service)
+				}
+			}
+		})
+	}
+}
--- a/rpc/caller.go
+++ b/rpc/caller.go
@@ -106,7 +106,7 @@
 	case <-ctx.Done():
 		c.abandon(id)
 		if cancel != nil {
-			c.sendCancel(cancel(id))
+			c.trySend(cancel(id))
 		}
 		return zero, ctx.Err()
 	case <-c.done:
@@ -153,12 +153,12 @@
 	delete(c.pending, id)
 }
 
-// sendCancel queues a message that cancels a request, unless the queue is full.
-func (c *Caller[Q, R, QB, RB]) sendCancel(q Q) {
+// trySend queues a message that gets no reply, unless the queue is full. Such messages
+// only spare work: without a cancellation the server drops the request at its deadline.
+func (c *Caller[Q, R, QB, RB]) trySend(q Q) {
 	select {
 	case c.send <- outgoing[Q, R]{q, nil}:
 	default:
-		// The queue is full. The server drops the request at its deadline anyway.
 	}
 }
 
--- a/rpc/exchange_test.go
+++ b/rpc/exchange_test.go
@@ -68,7 +68,8 @@
 	}
 	first.Finish()
 	<-second.Replies
-	second.Cancel()
+	second.Send(&pb.PartsRequest{Cancel: true})
+	second.Finish()
 	select {
 	case <-echo.withdrawn:
 	case <-time.After(5 * time.Second):
--- a/rpc/link.go
+++ b/rpc/link.go
@@ -79,9 +79,8 @@
 }
 
 // Open sends q and returns the exchange that receives its replies, at most the given
-// number. If it fails, nothing was sent. cancel builds the message that withdraws the
-// request with the given id.
-func (l *Link[Q, R, QB, RB]) Open(ctx context.Context, q Q, replies int, cancel func(id uint64) Q) (*Exchange[R], error) {
+// number. If it fails, nothing was sent.
+func (l *Link[Q, R, QB, RB]) Open(ctx context.Context, q Q, replies int) (*Exchange[Q, R, QB, RB], error) {
 	c, err := l.connect(ctx)
 	if err != nil {
 		return nil, err
@@ -90,15 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange[R]{
-		Replies: cl.reply, Lost: c.done,
-		end: func(withdraw bool) {
-			c.abandon(id)
-			if withdraw {
-				c.sendCancel(cancel(id))
-			}
-		},
-	}, nil
+	return &Exchange[Q, R, QB, RB]{Replies: cl.reply, Lost: c.done, caller: c, id: id}, nil
 }
 
 // Close closes the connection. A later call dials again.
