Don't wait for a shard that has no attempts left

Cause (found by reading): the entry of a gather kept a failed shard pending as if another gateway still had to allow further attempts, if it asked the shard itself after the only member of its cell was lost. The request then waited for its deadline.

Change: only a member whose entry hasn't said proceed holds retries back.

Test: TestEntryDoesNotWaitForShardThatFailed failed before.

--- a/forward/gather.go
+++ b/forward/gather.go
@@ -42,8 +42,9 @@
 	// median is the usual service time, and late the one above which an attempt counts
 	// as late.
 	median, late time.Duration
-	// hedging means that late shards are hedged from now on.
-	hedging bool
+	// hedging means that late shards are hedged from now on, and holdBack that the
+	// entry hasn't allowed all attempts yet.
+	hedging, holdBack bool
 	// objective is when the response should be written.
 	objective time.Time
 	// runs is the number of attempts that targets may have run.
@@ -240,7 +241,7 @@
 	switch {
 	case retry:
 		c.start(ctx, r.shard, g.results, g.retryUrgency(), false)
-	case c.inFlight == 0 && c.attempts < g.req.route.Attempts && c.rejections <= maxRejections:
+	case g.holdBack && c.inFlight == 0 && c.rejections <= maxRejections:
 		c.heldBack = true
 	}
 }
--- a/forward/gatherattempts.go
+++ b/forward/gatherattempts.go
@@ -44,6 +44,7 @@
 // allowAttempts raises the number of targets of a shard that may run the request, and
 // makes up for the retries and hedges that were held back.
 func (g *gathering) allowAttempts(ctx context.Context, attempts int) {
+	g.holdBack = false
 	for i, c := range g.calls {
 		if c == nil {
 			continue
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -143,7 +143,9 @@
 	g := s.newGathering(req)
 	answerBy := received.Add(time.Duration(q.GetAnswerWithinUs()) * time.Microsecond) //nolint:gosec // Durations of requests.
 	g.objective = answerBy
-	g.startShards(work, allShards(len(g.calls)), min(int(q.GetAttemptsAtOnce()), req.route.Attempts), q.GetRepeat())
+	attempts := min(int(q.GetAttemptsAtOnce()), req.route.Attempts)
+	g.holdBack = attempts < req.route.Attempts
+	g.startShards(work, allShards(len(g.calls)), attempts, q.GetRepeat())
 	g.stream(work, stop, proceed, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
 	s.logPartsServed(req, g, q.GetEntry(), q.GetRepeat())
 }
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -97,6 +97,33 @@
 	c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", "alone", 1500), "alone", 1)
 }
 
+// If the only member of a cell is lost after it may have sent the shards, the entry
+// asks them itself with one attempt less; a shard that then fails must not be waited
+// for.
+func TestEntryDoesNotWaitForShardThatFailed(t *testing.T) {
+	c := startCluster(t, 8)
+	s := c.servers[0]
+	for _, target := range c.targets[:2] {
+		target.answer = func(conn net.Conn, _ *http.Request, _ []byte, _ int) { _ = conn.Close() }
+	}
+	req := s.partsRequest(&pb.PartsRequest{
+		RequestId: "alone", Method: "GET", Uri: "/all/x", Host: "h", Top: 3, Attempts: 2, ObjectiveUs: 300_000,
+		TimeLeftUs: 1_000_000, Shards: []string{"s0"},
+	}, time.Now())
+	g := s.newGathering(req)
+	g.objective = time.Now().Add(time.Second)
+	g.startShards(context.Background(), []int{0}, 1, true)
+	select {
+	case r := <-g.results:
+		g.handleResult(context.Background(), r)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no result")
+	}
+	if g.anyInFlight() {
+		t.Error("a shard without attempts left is waited for")
+	}
+}
+
 // A member that is lost after it accepted shards and may have hedged them must not be
 // replaced, since a request would then run at more targets than its route allows, and
 // a gather that can't reach its coverage any more must end at once.
