--- a/cmd/peridotmux-soak/main.go
+++ b/cmd/peridotmux-soak/main.go
@@ -27,6 +27,8 @@
 	minutes := app.Flag("minutes", "How long to harm.").Default("1").Float64()
 	bin := app.Flag("bin", "Folder of the built programs.").Default("target/bin").ExistingDir()
 	logDir := app.Flag("logs", "Folder for logs; a temporary one, removed if all is well, if not set.").String()
+	gateways := app.Flag("gateways", "Number of gateways; 0 for a small cluster.").Int()
+	shards := app.Flag("shards", "Number of shards of requests to many; with 8 gateways and 26 shards, gateways divide them.").Int()
 	plant := app.Flag("plant", "Break a promise on purpose: twice, late or lost.").Enum("", "twice", "late", "lost")
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	dir := *logDir
@@ -39,6 +41,7 @@
 	app.FatalIfError(err, "bin")
 	r, err := soak.Run(context.Background(), soak.Config{
 		Seed: *seed, Duration: time.Duration(*minutes * float64(time.Minute)), BinDir: binDir, WorkDir: dir, Out: os.Stdout, Plant: *plant,
+		Gateways: *gateways, Shards: *shards,
 	})
 	if err != nil {
 		app.Errorf("%s", err)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,7 +59,7 @@
 }
 
 func (l *callerLoad) send(ctx context.Context, client *http.Client, rng *rand.Rand) {
-	gateway := rng.IntN(gateways)
+	gateway := rng.IntN(l.cluster.cfg.Gateways)
 	id := fmt.Sprintf("q%d", l.requestSeq.Add(1))
 	path := [...]string{"/one/x", "/once/x", "/all/x"}[rng.IntN(3)]
 	method := http.MethodGet
@@ -112,7 +112,7 @@
 		return
 	}
 	parts := strings.Split(h.Get(headers.PartSignatures), ", ")
-	if fmt.Sprint(shards-len(parts)) != h.Get(headers.MissingParts) || len(parts) < shards-1 {
+	if fmt.Sprint(l.cluster.cfg.Shards-len(parts)) != h.Get(headers.MissingParts) || len(parts) < l.cluster.cfg.Shards-1 {
 		l.cluster.ledger.addViolation("request %s names %d parts and %s missing", id, len(parts), h.Get(headers.MissingParts))
 	}
 	seen := map[string]bool{}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -18,13 +18,13 @@
 
 // The size, ports and time bounds of a soak's cluster.
 const (
-	// controls, gateways and shards are the numbers of control members, of
-	// gateways, and of services on the fan-out route. Each service has replicas
-	// targets.
+	// controls is the number of control members, and replicas that of the targets of
+	// each service.
 	controls = 3
-	gateways = 3
-	shards   = 4
 	replicas = 3
+	// defaultGateways and defaultShards are the size unless Config says otherwise.
+	defaultGateways = 3
+	defaultShards   = 4
 	// rpcPort is the port of a member's proxy. The member listens on rpcPort+1.
 	rpcPort       = 17740
 	controlPort   = 18224
@@ -50,6 +50,10 @@
 	Seed uint64
 	// Duration is how long disruptions are started.
 	Duration time.Duration
+	// Gateways is the number of gateways and Shards that of the services on the
+	// fan-out route, 0 for a small cluster. With 8 and 26, gateways divide the requests
+	// on that route among them.
+	Gateways, Shards int
 	// BinDir holds the built programs. Settings, data and logs go to WorkDir.
 	BinDir, WorkDir string
 	// Out receives a line for each disruption and violation.
@@ -100,18 +104,18 @@
 
 // serviceName returns the name of service i: one per shard, and the service of the
 // routes to a single service as the last.
-func serviceName(i int) string {
-	if i == shards {
+func (c *cluster) serviceName(i int) string {
+	if i == c.cfg.Shards {
 		return "single"
 	}
 	return fmt.Sprintf("shard%d", i)
 }
 
 func (c *cluster) startTargets() error {
-	for i := range shards + 1 {
+	for i := range c.cfg.Shards + 1 {
 		for j := range replicas {
 			addr := c.targetIP(i*replicas+j) + ":8080"
-			t, err := startTarget(c.ledger, fmt.Sprintf("t%d-%d", i, j), serviceName(i), dataCentreOf(j), addr)
+			t, err := startTarget(c.ledger, fmt.Sprintf("t%d-%d", i, j), c.serviceName(i), dataCentreOf(j), addr)
 			if err != nil {
 				return err
 			}
@@ -215,7 +219,7 @@
 }
 
 func (c *cluster) startGateways() error {
-	for i := range gateways {
+	for i := range c.cfg.Gateways {
 		ip := c.gatewayIP(i)
 		text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
 			c.seeds(), rpcPort, gracePeriod) + c.listSection()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -37,10 +37,10 @@
 // routeDocument returns the configuration of a version: a route to one service
 // for idempotent requests, one for non-idempotent requests, and one that fans
 // out to all shards.
-func routeDocument(version uint64) []byte {
+func (c *cluster) routeDocument(version uint64) []byte {
 	var shardServices []string
-	for i := range shards {
-		shardServices = append(shardServices, serviceName(i))
+	for i := range c.cfg.Shards {
+		shardServices = append(shardServices, c.serviceName(i))
 	}
 	return fake.RouteDocument(version, []fake.Route{
 		{Host: host, Prefix: "/one/", Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300},
@@ -55,7 +55,7 @@
 	o.mu.Lock()
 	o.version += 1 + o.version%3
 	version := o.version
-	body := routeDocument(version)
+	body := o.cluster.routeDocument(version)
 	o.sent[version] = body
 	o.mu.Unlock()
 	for i := 0; ctx.Err() == nil; i++ {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -49,6 +50,7 @@
 // that it recovers, and stops it. Violated guarantees are in the result; the
 // error is set only if the cluster could not be started.
 func Run(ctx context.Context, cfg Config) (*Result, error) {
+	cfg.Gateways, cfg.Shards = cmp.Or(cfg.Gateways, defaultGateways), cmp.Or(cfg.Shards, defaultShards)
 	c, err := newCluster(cfg)
 	if err != nil {
 		return nil, err
@@ -108,7 +110,7 @@
 		r.cluster.ledger.addViolation("the first configuration wasn't acknowledged in %v", startTimeout)
 		return
 	}
-	for i := range gateways {
+	for i := range r.cluster.cfg.Gateways {
 		if !r.waitReady(ctx, i) {
 			r.cluster.ledger.addViolation("gateway %d isn't ready after %v", i, startTimeout)
 		}
@@ -224,14 +226,14 @@
 }
 
 func (r *runner) killGateway(_ context.Context, _ time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(gateways)]
+	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
 	r.printf("kill %s", p.name)
 	p.kill()
 	r.restart(p)
 }
 
 func (r *runner) freezeGateway(_ context.Context, d time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(gateways)]
+	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
 	r.printf("freeze %s for %v", p.name, d)
 	p.signal(syscall.SIGSTOP)
 	r.undoAfter(d, func() { p.signal(syscall.SIGCONT) })
@@ -240,7 +242,7 @@
 // stopGateway shuts a gateway down gracefully while callers keep using their
 // connections to it.
 func (r *runner) stopGateway(_ context.Context, _ time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(gateways)]
+	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
 	r.printf("stop %s", p.name)
 	p.signal(syscall.SIGTERM)
 	r.background.Go(func() {
@@ -369,7 +371,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	for i := range gateways {
+	for i := range r.cluster.cfg.Gateways {
 		if !r.waitReady(ctx, i) {
 			r.cluster.ledger.addViolation("gateway %d isn't ready %v after the last harm", i, recoveryTimeout)
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,12 +41,19 @@
 	if err != nil {
 		t.Fatal(bin, err)
 	}
+	return runConfig(t, Config{Seed: seed, Duration: d, BinDir: bin, Plant: plant})
+}
+
+// runConfig runs a soak that must find no violated guarantee unless one is planted.
+func runConfig(t *testing.T, cfg Config) *Result {
+	t.Helper()
 	var out strings.Builder
-	r, err := Run(context.Background(), Config{Seed: seed, Duration: d, BinDir: bin, WorkDir: t.TempDir(), Out: &out, Plant: plant})
+	cfg.WorkDir, cfg.Out = t.TempDir(), &out
+	r, err := Run(context.Background(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if plant == "" && len(r.Violations) > 0 {
+	if cfg.Plant == "" && len(r.Violations) > 0 {
 		t.Fatalf("%d guarantees violated:\n%s", len(r.Violations), out.String())
 	}
 	return r
@@ -60,6 +67,19 @@
 	}
 }
 
+// A short soak of gateways that divide requests to many shards among them must find no
+// violated guarantee.
+func TestShortSoakOfCells(t *testing.T) {
+	bin, err := buildPrograms()
+	if err != nil {
+		t.Fatal(bin, err)
+	}
+	r := runConfig(t, Config{Seed: 9401, Duration: 12 * time.Second, BinDir: bin, Gateways: 8, Shards: 26})
+	if r.Served == 0 || r.Disruptions == 0 {
+		t.Fatalf("%+v", r)
+	}
+}
+
 // Guards against checks that pass whatever happens: each must report a violation
 // planted on purpose. With seed 53, the soak takes a data centre out, which "late"
 // needs.
