--- a/cmd/peridotmux/explain.go
+++ b/cmd/peridotmux/explain.go
@@ -141,7 +141,7 @@
 var finalMessages = []string{"request answered", "request refused", "request given up"}
 
 // cause returns the outcome of the request, taken from the line that ends it,
-// followed by its failed attempts and the members that didn't answer. events must not
+// followed by its failed attempts and the helpers that didn't answer. events must not
 // be empty.
 func cause(events []event) string {
 	last := events[len(events)-1].line
@@ -151,8 +151,8 @@
 		switch msg := l.text("msg"); {
 		case msg == "attempt ended" && l.text("verdict") != "answered":
 			failed = append(failed, l.text("target")+" "+l.text("verdict")+" "+l.text("error"))
-		case msg == "member failed":
-			failed = append(failed, l.text("member")+" "+l.text("error")+", then "+l.text("then"))
+		case msg == "helper failed":
+			failed = append(failed, l.text("helper")+" "+l.text("error")+", then "+l.text("then"))
 		case slices.Contains(finalMessages, msg):
 			last = l
 		}
--- a/cmd/peridotmux/explain_test.go
+++ b/cmd/peridotmux/explain_test.go
@@ -66,8 +66,8 @@
 // of over 1 MiB must not end the search.
 func TestExplainJoinsGateways(t *testing.T) {
 	dir := t.TempDir()
-	entry := `{"time":"2026-12-04T09:00:00.100Z","msg":"shards handed over","request":"r1","after":1000000,"member":"gw2","shards":9}
-{"time":"2026-12-04T09:00:00.100Z","msg":"member failed","request":"r1","after":21000000,"member":"gw2","took":20000000,"error":"no answer in time","then":"next member"}
+	entry := `{"time":"2026-12-04T09:00:00.100Z","msg":"shards handed over","request":"r1","after":1000000,"helper":"gw2","shards":9}
+{"time":"2026-12-04T09:00:00.100Z","msg":"helper failed","request":"r1","after":21000000,"helper":"gw2","took":20000000,"error":"no answer in time","then":"next helper"}
 {"time":"2026-12-04T09:00:00.100Z","msg":"request answered","request":"r1","after":100000000,"late":true,"missing":0,"list_age":1470000000}
 `
 	other := strings.Repeat("x", maxLogLine+10) + `
@@ -91,7 +91,7 @@
 	}
 	for i, want := range []string{
 		"shards handed over", "took=20ms", "80.0 ms", "list_age=1.47s",
-		"cause: answered late; attempts: gw2 no answer in time, then next member", "1 lines over 1048576 bytes",
+		"cause: answered late; attempts: gw2 no answer in time, then next helper", "1 lines over 1048576 bytes",
 	} {
 		if !strings.Contains(lines[i], want) {
 			t.Errorf("line %d: %q, want %q", i, lines[i], want)
--- a/forward/cellplan.go
+++ b/forward/cellplan.go
@@ -11,10 +11,10 @@
 	"github.com/peridotmux/peridotmux/topology"
 )
 
-// preferredMembers is the number of members of each cell that a router hands shards
-// to: it takes turns between the first two, and the others replace those that don't
+// preferredHelpers is the number of members of each cell that a router may ask to help:
+// it takes turns between the first two, and the others replace those that don't
 // answer.
-const preferredMembers = 3
+const preferredHelpers = 3
 
 // cellPlan says which other routers send the sub-requests of a gather. It is
 // immutable.
@@ -26,15 +26,15 @@
 	shards []int
 	// own means that this router is a member of the cell.
 	own bool
-	// members are the other routers that may be asked, in the order of preference.
-	members []member
-	// equal is the number of members at the beginning of the list that are equally
+	// helpers are the members that may be asked otherwise, in the order of preference.
+	helpers []helper
+	// equal is the number of helpers at the beginning of the list that are equally
 	// close.
 	equal int
 }
 
-// member is another router that sends sub-requests for this one.
-type member struct {
+// helper is another router that sends sub-requests for this one.
+type helper struct {
 	vm   topology.VMName
 	addr netip.AddrPort
 }
@@ -123,9 +123,9 @@
 		for _, s := range c.Shards {
 			p.shards = append(p.shards, index[s])
 		}
-		preferred := c.Preferred(self, preferredMembers)
+		preferred := c.Preferred(self, preferredHelpers)
 		for _, g := range preferred {
-			p.members = append(p.members, member{vm: g.Name, addr: f.addrs[g.Name]})
+			p.helpers = append(p.helpers, helper{vm: g.Name, addr: f.addrs[g.Name]})
 		}
 		if len(preferred) > 1 {
 			p.equal = 1
@@ -138,9 +138,9 @@
 	return out
 }
 
-// memberAddrs returns the addresses of the routers that may send sub-requests for
+// helperAddrs returns the addresses of the routers that may send sub-requests for
 // others.
-func (f *fleet) memberAddrs() map[netip.AddrPort]bool {
+func (f *fleet) helperAddrs() map[netip.AddrPort]bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make(map[netip.AddrPort]bool, len(f.addrs))
@@ -150,15 +150,15 @@
 	return out
 }
 
-// neededMembers returns the members that this router hands shards to while none fails.
-func (f *fleet) neededMembers() []member {
+// neededHelpers returns the helpers that this router hands shards to while none fails.
+func (f *fleet) neededHelpers() []helper {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []member
+	var out []helper
 	for _, plan := range f.plans {
 		for i := range plan.cells {
 			if c := &plan.cells[i]; !c.own {
-				out = append(out, c.members[:min(c.equal, len(c.members))]...)
+				out = append(out, c.helpers[:min(c.equal, len(c.helpers))]...)
 			}
 		}
 	}
@@ -186,7 +186,7 @@
 const (
 	// memberShare is the fraction of what all routers may use of a service, connections
 	// and extra arrivals, that belongs to the members of its cell. The rest is for
-	// routers that send sub-requests although no member answers.
+	// routers that send sub-requests because no member answers.
 	memberShare = 0.9
 	// unknownMembers is the number of members that a cell may have besides those known,
 	// while some routers don't know yet of one that came or left.
--- a/forward/cellplan_test.go
+++ b/forward/cellplan_test.go
@@ -98,7 +98,7 @@
 			for _, shard := range c.shards {
 				seen[shard] = true
 			}
-			for _, m := range c.members {
+			for _, m := range c.helpers {
 				if !c.own && m.vm == f.vm || !m.addr.IsValid() {
 					t.Fatalf("%s hands shards to %v", f.vm, m)
 				}
--- a/forward/cluster_test.go
+++ b/forward/cluster_test.go
@@ -103,9 +103,9 @@
 	}
 }
 
-// askedByEntry returns the member that server 0 asks first for the cell that it isn't
+// askedByEntry returns the helper that server 0 asks first for the cell that it isn't
 // in.
-func (c *cluster) askedByEntry(t *testing.T) member {
+func (c *cluster) askedByEntry(t *testing.T) helper {
 	t.Helper()
 	plan := c.servers[0].fleet.planFor(c.table.Routes[2].Gather)
 	if plan == nil {
@@ -113,11 +113,11 @@
 	}
 	for _, cell := range plan.cells {
 		if !cell.own {
-			return cell.members[0]
+			return cell.helpers[0]
 		}
 	}
 	t.Fatal("no other cell")
-	return member{}
+	return helper{}
 }
 
 // indexOf returns the index of a server.
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -51,7 +51,7 @@
 	runs    int
 	results chan *result
 	// replies are what other routers sent.
-	replies chan memberReply
+	replies chan helperReply
 	// free fires when shards that wait for a target are tried again, and waiting
 	// means that it is set.
 	free    *time.Timer
@@ -72,7 +72,7 @@
 	g := s.newGathering(req)
 	g.startAll(ctx)
 	why := g.await(ctx)
-	g.stopMembers()
+	g.stopHelpers()
 	callerPresent := stop()
 	time.AfterFunc(lingerTime, cancel)
 	if !callerPresent {
@@ -147,8 +147,8 @@
 	defer deadline.Stop()
 	hedge := time.NewTimer(hedgeDelay(g.req.route, g.late))
 	defer hedge.Stop()
-	memberDue := time.NewTimer(acceptTime(g.req.route))
-	defer memberDue.Stop()
+	helperDue := time.NewTimer(acceptTime(g.req.route))
+	defer helperDue.Stop()
 	defer g.free.Stop()
 	minParts := g.req.route.Gather.MinParts()
 	lastHedge := g.objective.Add(-lastHedgeFactor * g.late)
@@ -163,9 +163,9 @@
 			g.handleResult(ctx, r)
 		case m := <-g.replies:
 			g.handleReply(ctx, &m)
-		case now := <-memberDue.C:
-			if next := g.checkMembers(ctx, now); !next.IsZero() {
-				memberDue.Reset(time.Until(next))
+		case now := <-helperDue.C:
+			if next := g.checkHelpers(ctx, now); !next.IsZero() {
+				helperDue.Reset(time.Until(next))
 			}
 		case <-hedge.C:
 			g.hedgeOnTime(ctx, hedge, lastHedge)
@@ -270,7 +270,7 @@
 		}
 		text := string(service)
 		if h := g.handedOver[i]; h != nil {
-			text += " member=" + string(h.asked.vm)
+			text += " helper=" + string(h.asked.vm)
 		}
 		if c := g.calls[i]; c != nil {
 			text += " tried=" + strconv.Itoa(len(c.tried)) + " out=" + strconv.Itoa(c.inFlight) + " rejected=" + strconv.Itoa(c.rejections)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -9,54 +9,54 @@
 )
 
 const (
-	// acceptShare is the fraction of the objective within which a member must accept
+	// acceptShare is the fraction of the objective within which a helper must accept
 	// shards that were handed to it, between minAcceptTime and maxAcceptTime.
 	acceptShare   = 0.3
 	minAcceptTime = 15 * time.Millisecond
 	maxAcceptTime = 30 * time.Millisecond
-	// replyMargin is the time before the entry's own objective at which members send
+	// replyMargin is the time before the entry's own objective at which helpers send
 	// the parts received so far.
 	replyMargin = 5 * time.Millisecond
-	// silenceMargin is how long after the objective a member that accepted shards may
+	// silenceMargin is how long after the objective a helper that accepted shards may
 	// have sent no parts before it counts as lost.
 	silenceMargin = 25 * time.Millisecond
 )
 
-// handOver is the shards of one cell that this router hands to a member. Its fields
+// handOver is the shards of one cell that this router hands to a helper. Its fields
 // belong to the goroutine that handles the request.
 type handOver struct {
 	// shards are indexes in the gathering's shards.
 	shards []int
-	// untried are the members that weren't asked yet.
-	untried []member
-	// try numbers the members asked, from 1. asked is the current one.
+	// untried are the helpers that weren't asked yet.
+	untried []helper
+	// try numbers the helpers asked, from 1. asked is the current one.
 	try    int
-	asked  member
+	asked  helper
 	sentAt time.Time
 	// open means that parts may still come.
 	open bool
-	// accepted means that the member accepted the shards, and reported that it also
+	// accepted means that the helper accepted the shards, and reported that it also
 	// sent parts or said that it has none yet.
 	accepted, reported bool
-	// repeat means that an earlier member may have sent the shards.
+	// repeat means that an earlier helper may have sent the shards.
 	repeat bool
-	// committed means that this router told the member that it may use all attempts,
+	// committed means that this router told the helper that it may use all attempts,
 	// and so can't hand the shards to another one.
 	committed bool
 	// attempts is the number of targets of a shard that may still run the request.
 	attempts int
-	// runs is the number of attempts that the member reported as possibly run.
+	// runs is the number of attempts that the helper reported as possibly run.
 	runs int
-	// proceed lets the member use all attempts when it is closed, and stop withdraws
+	// proceed lets the helper use all attempts when it is closed, and stop withdraws
 	// the shards from it.
 	proceed chan struct{}
 	stop    context.CancelFunc
 }
 
-// memberReply is what a member sent, or how asking it failed.
-type memberReply struct {
+// helperReply is what a helper sent, or how asking it failed.
+type helperReply struct {
 	from *handOver
-	// try is the number of the member asked.
+	// try is the number of the helper asked.
 	try int
 	// message is nil if the connection failed. notSent then means that nothing had
 	// been sent.
@@ -65,33 +65,33 @@
 	cause   error
 }
 
-// acceptTime returns how long a member may take to accept shards.
+// acceptTime returns how long a helper may take to accept shards.
 func acceptTime(r *route.Route) time.Duration {
 	share := time.Duration(acceptShare * float64(r.Objective))
 	return min(max(share, minAcceptTime), maxAcceptTime)
 }
 
-// handOverStep is what follows if a member doesn't answer.
+// handOverStep is what follows if a helper doesn't answer.
 type handOverStep uint8
 
 const (
 	// stepGiveUp leaves the shards out.
 	stepGiveUp handOverStep = iota
-	// stepNext hands the shards to the next member.
+	// stepNext hands the shards to the next helper.
 	stepNext
 	// stepSelf sends the sub-requests from this router.
 	stepSelf
 )
 
-// attemptsAtOnce is the number of targets of a shard to which a member may send a
-// request before the entry commits itself to that member.
+// attemptsAtOnce is the number of targets of a shard to which a helper may send a
+// request before the entry commits itself to that helper.
 const attemptsAtOnce = 1
 
-// next decides what follows after the current member failed. If nothing was sent to
+// next decides what follows after the current helper failed. If nothing was sent to
 // it, the shards go elsewhere as if it hadn't been asked. Otherwise it may have sent
 // them: they go elsewhere once, with its attempt taken off, and only if it wasn't
 // allowed to use further ones, so that no request runs at more targets than its route
-// allows, however late the member learns that the shards were withdrawn.
+// allows, however late the helper learns that the shards were withdrawn.
 func (h *handOver) next(notSent bool) handOverStep {
 	if !notSent {
 		if h.repeat || h.committed || h.attempts <= attemptsAtOnce {
@@ -107,7 +107,7 @@
 }
 
 // dueAt returns when the hand-over is looked at next, zero if there is no such time: a
-// member must have accepted the shards soon, may proceed then, and must have sent
+// helper must have accepted the shards soon, may proceed then, and must have sent
 // parts, or that it has none, by the objective.
 func (h *handOver) dueAt(accept time.Duration, objective time.Time) time.Time {
 	switch {
@@ -120,48 +120,48 @@
 	}
 }
 
-// commit lets the member use all attempts.
+// commit lets the helper use all attempts.
 func (h *handOver) commit() {
 	h.committed = true
 	close(h.proceed)
 }
 
-// handOverAll hands the shards of each cell to a member of it. It returns the shards
+// handOverAll hands the shards of each cell to a helper of it. It returns the shards
 // that this router asks itself.
 func (g *gathering) handOverAll(ctx context.Context, plan *cellPlan) []int {
 	var own []int
 	capacity := 0
 	for i := range plan.cells {
 		c := &plan.cells[i]
-		if c.own || len(c.members) == 0 {
+		if c.own || len(c.helpers) == 0 {
 			own = append(own, c.shards...)
 			continue
 		}
 		h := &handOver{
 			shards: c.shards, attempts: g.req.route.Attempts, open: true,
-			untried: g.server.members.order(c.members, c.equal, time.Now()),
+			untried: g.server.helpers.order(c.helpers, c.equal, time.Now()),
 		}
 		for _, shard := range c.shards {
 			g.handedOver[shard] = h
 		}
 		g.handOvers = append(g.handOvers, h)
-		capacity += (len(c.members) + 1) * (len(c.shards) + 4)
+		capacity += (len(c.helpers) + 1) * (len(c.shards) + 4)
 	}
-	g.replies = make(chan memberReply, capacity)
+	g.replies = make(chan helperReply, capacity)
 	for _, h := range g.handOvers {
 		g.askNext(ctx, h)
 	}
 	return own
 }
 
-// askNext hands shards to the next member.
+// askNext hands shards to the next helper.
 func (g *gathering) askNext(ctx context.Context, h *handOver) {
 	h.asked, h.untried = h.untried[0], h.untried[1:]
 	h.try++
 	h.sentAt, h.accepted, h.reported = time.Now(), false, false
 	h.proceed = make(chan struct{})
-	ask := &memberCall{
-		members: g.server.members, member: h.asked, message: g.partsRequest(h),
+	ask := &helperCall{
+		helpers: g.server.helpers, helper: h.asked, message: g.partsRequest(h),
 		from: h, try: h.try, proceed: h.proceed, replies: g.replies,
 	}
 	g.req.trace.add(decision{msg: msgHandedOver, at: h.sentAt, target: string(h.asked.vm), shards: len(h.shards), repeat: h.repeat})
@@ -190,8 +190,8 @@
 
 func microseconds(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) } //nolint:gosec // Not negative.
 
-// handleReply applies what a member sent.
-func (g *gathering) handleReply(ctx context.Context, r *memberReply) {
+// handleReply applies what a helper sent.
+func (g *gathering) handleReply(ctx context.Context, r *helperReply) {
 	h := r.from
 	if !h.open || r.try != h.try {
 		return
@@ -204,7 +204,7 @@
 	case pb.PartsStatus_PARTS_STATUS_ACCEPTED:
 		h.accepted = true
 	case pb.PartsStatus_PARTS_STATUS_REFUSED:
-		g.replace(ctx, h, true, &MemberRefusedError{Reason: r.message.GetReason()})
+		g.replace(ctx, h, true, &HelperRefusedError{Reason: r.message.GetReason()})
 	case pb.PartsStatus_PARTS_STATUS_MORE:
 		h.accepted, h.reported = true, true
 		g.takeParts(h, r.message)
@@ -216,24 +216,24 @@
 			missing: r.message.GetMissing(),
 		})
 	default:
-		g.replace(ctx, h, false, &MemberRefusedError{Reason: "unknown status"})
+		g.replace(ctx, h, false, &HelperRefusedError{Reason: "unknown status"})
 	}
 }
 
-// MemberRefusedError means that another router didn't take shards, or broke the
+// HelperRefusedError means that another router didn't take shards, or broke the
 // protocol.
-type MemberRefusedError struct{ Reason string }
+type HelperRefusedError struct{ Reason string }
 
 // Error describes the failure.
-func (e *MemberRefusedError) Error() string { return "shards not taken: " + e.Reason }
+func (e *HelperRefusedError) Error() string { return "shards not taken: " + e.Reason }
 
-// MemberSilentError means that another router didn't answer in time.
-type MemberSilentError struct{}
+// HelperSilentError means that another router didn't answer in time.
+type HelperSilentError struct{}
 
 // Error describes the failure.
-func (*MemberSilentError) Error() string { return "no answer in time" }
+func (*HelperSilentError) Error() string { return "no answer in time" }
 
-// takeParts keeps the parts in a message of a member.
+// takeParts keeps the parts in a message of a helper.
 func (g *gathering) takeParts(h *handOver, m *pb.PartsReply) {
 	h.runs = int(m.GetRuns())
 	signatures := m.GetSignatures()
@@ -248,14 +248,14 @@
 	}
 }
 
-// replace hands shards elsewhere after the current member failed, or gives them up.
+// replace hands shards elsewhere after the current helper failed, or gives them up.
 func (g *gathering) replace(ctx context.Context, h *handOver, notSent bool, cause error) {
 	h.stop()
 	waited := time.Since(h.sentAt)
-	g.server.members.recordFailure(h.asked, h.sentAt, cause, time.Now())
+	g.server.helpers.recordFailure(h.asked, h.sentAt, cause, time.Now())
 	step := h.next(notSent)
 	g.req.trace.add(decision{
-		msg: msgMemberFailed, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: waited, cause: cause, step: step,
+		msg: msgHelperFailed, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: waited, cause: cause, step: step,
 	})
 	g.server.cfg.Metrics.HandOverFailed(step.String())
 	if !notSent {
@@ -276,7 +276,7 @@
 func (s handOverStep) String() string {
 	switch s {
 	case stepNext:
-		return "next member"
+		return "next helper"
 	case stepSelf:
 		return "itself"
 	default:
@@ -284,9 +284,9 @@
 	}
 }
 
-// checkMembers replaces the members that didn't answer in time and lets the others
+// checkHelpers replaces the helpers that didn't answer in time and lets the others
 // proceed. It returns when to look at the next one, zero if there is none.
-func (g *gathering) checkMembers(ctx context.Context, now time.Time) time.Time {
+func (g *gathering) checkHelpers(ctx context.Context, now time.Time) time.Time {
 	accept := acceptTime(g.req.route)
 	var next time.Time
 	for _, h := range g.handOvers {
@@ -295,7 +295,7 @@
 			if h.accepted && !h.committed && !h.repeat {
 				h.commit()
 			} else {
-				g.replace(ctx, h, false, &MemberSilentError{})
+				g.replace(ctx, h, false, &HelperSilentError{})
 			}
 			due = h.dueAt(accept, g.objective)
 		}
@@ -306,8 +306,8 @@
 	return next
 }
 
-// stopMembers withdraws what the members haven't answered.
-func (g *gathering) stopMembers() {
+// stopHelpers withdraws what the helpers haven't answered.
+func (g *gathering) stopHelpers() {
 	for _, h := range g.handOvers {
 		g.runs += h.runs
 		if h.open {
--- a/forward/members.go
+++ b/forward/helper.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// avoidTime is how long a member that failed is asked only after the others.
+	// avoidTime is how long a helper that failed is asked only after the others.
 	avoidTime = 2 * time.Second
 	// linksPerTrim is the number of links that are opened at each trim. It spreads
 	// those of a restarted router over a second or two.
@@ -24,9 +24,9 @@
 	linkRetry = time.Second
 )
 
-// members holds the links to the routers that send sub-requests for this one. It is
+// helpers holds the links to the routers that send sub-requests for this one. It is
 // safe for concurrent use.
-type members struct {
+type helpers struct {
 	log  *slog.Logger
 	turn atomic.Uint64
 
@@ -34,7 +34,7 @@
 	peers map[netip.AddrPort]*peer
 }
 
-// peer is the link to one router. The mutex of members guards its times.
+// peer is the link to one router. The mutex of helpers guards its times.
 type peer struct {
 	link *rpc.PartsLink
 	// failedAt is when the router last failed, repliedAt when it last sent something,
@@ -42,12 +42,12 @@
 	failedAt, repliedAt, openedAt time.Time
 }
 
-func newMembers(log *slog.Logger) *members {
-	return &members{log: log, peers: make(map[netip.AddrPort]*peer)}
+func newHelpers(log *slog.Logger) *helpers {
+	return &helpers{log: log, peers: make(map[netip.AddrPort]*peer)}
 }
 
 // peer returns the link to a router. m.mu must be held.
-func (m *members) peer(addr netip.AddrPort) *peer {
+func (m *helpers) peer(addr netip.AddrPort) *peer {
 	p := m.peers[addr]
 	if p == nil {
 		p = &peer{link: rpc.NewPartsLink(addr)}
@@ -56,31 +56,31 @@
 	return p
 }
 
-// order returns the members of a cell in the order in which to ask them: those that
+// order returns the helpers of a cell in the order in which to ask them: those that
 // failed lately last, and the first equal ones in turns.
-func (m *members) order(all []member, equal int, now time.Time) []member {
+func (m *helpers) order(all []helper, equal int, now time.Time) []helper {
 	out := slices.Clone(all)
 	if equal > 1 && m.turn.Add(1)%2 == 0 {
 		out[0], out[1] = out[1], out[0]
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	slices.SortStableFunc(out, func(a, b member) int { return m.avoided(a, now) - m.avoided(b, now) })
+	slices.SortStableFunc(out, func(a, b helper) int { return m.avoided(a, now) - m.avoided(b, now) })
 	return out
 }
 
-// avoided returns 1 for a member that failed lately, and otherwise 0. m.mu must be
+// avoided returns 1 for a helper that failed lately, and otherwise 0. m.mu must be
 // held.
-func (m *members) avoided(x member, now time.Time) int {
+func (m *helpers) avoided(x helper, now time.Time) int {
 	if p := m.peers[x.addr]; p != nil && !p.failedAt.IsZero() && now.Sub(p.failedAt) < avoidTime {
 		return 1
 	}
 	return 0
 }
 
-// recordFailure notes that a member failed after it was asked at askedAt. If it has
+// recordFailure notes that a helper failed after it was asked at askedAt. If it has
 // sent nothing since, the connection may be dead and is closed.
-func (m *members) recordFailure(x member, askedAt time.Time, cause error, now time.Time) {
+func (m *helpers) recordFailure(x helper, askedAt time.Time, cause error, now time.Time) {
 	m.mu.Lock()
 	p := m.peer(x.addr)
 	first := now.Sub(p.failedAt) >= avoidTime
@@ -88,22 +88,22 @@
 	silent := p.repliedAt.Before(askedAt)
 	m.mu.Unlock()
 	if first {
-		m.log.Warn("member avoided", "member", string(x.vm), "addr", x.addr, "for", avoidTime, "silent", silent, "error", cause)
+		m.log.Warn("helper avoided", "helper", string(x.vm), "addr", x.addr, "for", avoidTime, "silent", silent, "error", cause)
 	}
 	if silent {
 		p.link.Close()
 	}
 }
 
-func (m *members) recordReply(addr netip.AddrPort, now time.Time) {
+func (m *helpers) recordReply(addr netip.AddrPort, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peer(addr).repliedAt = now
 }
 
-// unopened returns at most linksPerTrim links to the given members that aren't
+// unopened returns at most linksPerTrim links to the given helpers that aren't
 // connected, so that the first requests after a start needn't wait for connections.
-func (m *members) unopened(needed []member, now time.Time) []*peer {
+func (m *helpers) unopened(needed []helper, now time.Time) []*peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []*peer
@@ -123,7 +123,7 @@
 
 // openLinks opens the links that this router will need.
 func (s *Server) openLinks(ctx context.Context, now time.Time) {
-	for _, p := range s.members.unopened(s.fleet.neededMembers(), now) {
+	for _, p := range s.helpers.unopened(s.fleet.neededHelpers(), now) {
 		go func() {
 			if err := p.link.Connect(ctx); err != nil {
 				s.cfg.Log.Debug("link to another router not opened", "error", err)
@@ -133,7 +133,7 @@
 }
 
 // close closes all links.
-func (m *members) close() {
+func (m *helpers) close() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
@@ -142,7 +142,7 @@
 }
 
 // retain closes the links to routers that aren't in use any more.
-func (m *members) retain(used map[netip.AddrPort]bool) {
+func (m *helpers) retain(used map[netip.AddrPort]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for addr, p := range m.peers {
@@ -153,27 +153,27 @@
 	}
 }
 
-// memberCall asks one member for the parts of some shards.
-type memberCall struct {
-	members *members
-	member  member
+// helperCall asks one helper for the parts of some shards.
+type helperCall struct {
+	helpers *helpers
+	helper  helper
 	message *pb.PartsRequest
 	from    *handOver
 	try     int
-	// proceed is closed when the member may use all attempts.
+	// proceed is closed when the helper may use all attempts.
 	proceed <-chan struct{}
-	replies chan<- memberReply
+	replies chan<- helperReply
 }
 
 // run sends the message and passes the replies on until the last one, the loss of the
 // connection or the end of ctx, which withdraws the request.
-func (c *memberCall) run(ctx context.Context) {
-	c.members.mu.Lock()
-	link := c.members.peer(c.member.addr).link
-	c.members.mu.Unlock()
+func (c *helperCall) run(ctx context.Context) {
+	c.helpers.mu.Lock()
+	link := c.helpers.peer(c.helper.addr).link
+	c.helpers.mu.Unlock()
 	exchange, err := link.Open(ctx, c.message, len(c.message.GetShards())+3)
 	if err != nil {
-		c.replies <- memberReply{from: c.from, try: c.try, notSent: true, cause: err}
+		c.replies <- helperReply{from: c.from, try: c.try, notSent: true, cause: err}
 		return
 	}
 	proceed := c.proceed
@@ -199,15 +199,15 @@
 }
 
 // pass passes a reply on and reports whether it is the last one.
-func (c *memberCall) pass(r *pb.PartsReply) bool {
-	c.members.recordReply(c.member.addr, time.Now())
-	c.replies <- memberReply{from: c.from, try: c.try, message: r}
+func (c *helperCall) pass(r *pb.PartsReply) bool {
+	c.helpers.recordReply(c.helper.addr, time.Now())
+	c.replies <- helperReply{from: c.from, try: c.try, message: r}
 	return !rpc.PartsCodec.More(r)
 }
 
 // passLoss passes the replies on that came before the connection was lost, and then
 // the loss, unless the last reply was among them.
-func (c *memberCall) passLoss(exchange *rpc.PartsExchange) {
+func (c *helperCall) passLoss(exchange *rpc.PartsExchange) {
 	defer exchange.Finish()
 	for {
 		select {
@@ -216,17 +216,17 @@
 				return
 			}
 		default:
-			c.replies <- memberReply{from: c.from, try: c.try, cause: &MemberLostError{}}
+			c.replies <- helperReply{from: c.from, try: c.try, cause: &HelperLostError{}}
 			return
 		}
 	}
 }
 
-// MemberLostError means that the connection to another router failed.
-type MemberLostError struct{}
+// HelperLostError means that the connection to another router failed.
+type HelperLostError struct{}
 
 // Error describes the failure.
-func (*MemberLostError) Error() string { return "connection lost" }
+func (*HelperLostError) Error() string { return "connection lost" }
 
 // packHeaders returns the headers that are forwarded.
 func packHeaders(h http.Header) []*pb.HeaderField {
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -11,7 +11,7 @@
 )
 
 // maxSharedParts bounds the shards that this router asks for other routers at the same
-// time. More are refused at once, so that another member or the entry asks them.
+// time. More are refused at once, so that another helper or the entry asks them.
 const maxSharedParts = 1024
 
 // reasons for which shards of another router are refused.
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -24,7 +24,7 @@
 	}
 	senders := 0
 	for _, s := range c.servers {
-		if strings.Contains(s.lines(), msgMemberFailed) {
+		if strings.Contains(s.lines(), msgHelperFailed) {
 			t.Errorf("%s: %s", s.cfg.VM, s.lines())
 		}
 		open := s.openConnections()
@@ -40,9 +40,9 @@
 	}
 }
 
-// A member that accepts connections and never answers, as when it is frozen, must not
-// cost the answer: its shards go to another member, once, and it is avoided then.
-func TestSilentMemberIsReplaced(t *testing.T) {
+// A helper that accepts connections and never answers, as when it is frozen, must not
+// cost the answer: its shards go to another helper, once, and it is avoided then.
+func TestSilentHelperIsReplaced(t *testing.T) {
 	c := startCluster(t, 8)
 	asked := c.askedByEntry(t)
 	i := c.indexOf(asked.vm)
@@ -64,14 +64,14 @@
 			t.Errorf("request %s took %v, over its objective", id, took)
 		}
 	}
-	if lines := c.servers[0].lines(); !strings.Contains(lines, "member avoided") {
-		t.Error("the silent member isn't avoided: ", lines)
+	if lines := c.servers[0].lines(); !strings.Contains(lines, "helper avoided") {
+		t.Error("the silent helper isn't avoided: ", lines)
 	}
 }
 
-// A member that is shutting down must refuse shards, so that they go elsewhere
+// A helper that is shutting down must refuse shards, so that they go elsewhere
 // without an extra arrival.
-func TestLeavingMemberRefusesShards(t *testing.T) {
+func TestLeavingHelperRefusesShards(t *testing.T) {
 	c := startCluster(t, 8)
 	c.denyExtraArrivals()
 	leaving := c.servers[c.indexOf(c.askedByEntry(t).vm)]
@@ -86,7 +86,7 @@
 }
 
 // Without any other router that answers, the entry must ask all shards itself.
-func TestEntryAsksItselfWithoutMembers(t *testing.T) {
+func TestEntryAsksItselfWithoutHelpers(t *testing.T) {
 	c := startCluster(t, 8)
 	c.denyExtraArrivals()
 	for i, stop := range c.stops[1:] {
@@ -97,7 +97,7 @@
 	c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", "alone", 1500), "alone", 1)
 }
 
-// If the only member of a cell is lost after it may have sent the shards, the entry
+// If the only helper of a cell is lost after it may have sent the shards, the entry
 // asks them itself with one attempt less; a shard that then fails must not be waited
 // for.
 func TestEntryDoesNotWaitForShardThatFailed(t *testing.T) {
@@ -124,10 +124,10 @@
 	}
 }
 
-// A member that is lost after it accepted shards and may have hedged them must not be
+// A helper that is lost after it accepted shards and may have hedged them must not be
 // replaced, since a request would then run at more targets than its route allows, and
 // a gather that can't reach its coverage any more must end at once.
-func TestLostMemberEndsGatherEarly(t *testing.T) {
+func TestLostHelperEndsGatherEarly(t *testing.T) {
 	c := startCluster(t, 8)
 	for _, s := range c.targets {
 		s.answer = func(net.Conn, *http.Request, []byte, int) { time.Sleep(time.Second) }
@@ -150,8 +150,8 @@
 	}
 }
 
-// When the caller leaves, members must stop: no shard may be asked later.
-func TestCallerThatLeavesStopsMembers(t *testing.T) {
+// When the caller leaves, helpers must stop: no shard may be asked later.
+func TestCallerThatLeavesStopsHelpers(t *testing.T) {
 	c := startCluster(t, 8)
 	for _, s := range c.targets {
 		s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
@@ -185,10 +185,10 @@
 	}
 }
 
-// What follows after a member failed must depend on whether it may have sent the
+// What follows after a helper failed must depend on whether it may have sent the
 // shards, and no shard may get more attempts than its route allows.
 func TestNextStepOfHandOver(t *testing.T) {
-	some := []member{{vm: "b"}}
+	some := []helper{{vm: "b"}}
 	for name, c := range map[string]struct {
 		h        handOver
 		notSent  bool
@@ -259,10 +259,10 @@
 	}
 }
 
-// Until the entry has committed itself to a member, the member must use one attempt a
+// Until the entry has committed itself to a helper, the helper must use one attempt a
 // shard, however slow or faulty the targets are, since the entry may have handed the
 // shards to another one. Afterwards it must retry and hedge what it held back.
-func TestMemberWaitsForEntryBeforeFurtherAttempts(t *testing.T) {
+func TestHelperWaitsForEntryBeforeFurtherAttempts(t *testing.T) {
 	for name, fail := range map[string]func(net.Conn){
 		"slow":   func(net.Conn) { time.Sleep(400 * time.Millisecond) },
 		"faulty": func(c net.Conn) { _ = c.Close() },
@@ -312,14 +312,14 @@
 	}
 }
 
-// The links to the members that a router will ask must be open before its first
+// The links to the helpers that a router will ask must be open before its first
 // request.
 func TestLinksAreOpenedAheadOfUse(t *testing.T) {
 	c := startCluster(t, 8)
 	s := c.servers[0]
-	needed := s.fleet.neededMembers()
+	needed := s.fleet.neededHelpers()
 	if len(needed) == 0 {
-		t.Fatal("no members are needed")
+		t.Fatal("no helpers are needed")
 	}
 	now := time.Now()
 	for deadline := now.Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
@@ -327,11 +327,11 @@
 		s.openLinks(t.Context(), now)
 		open := 0
 		for _, m := range needed {
-			s.members.mu.Lock()
-			if s.members.peer(m.addr).link.Connected() {
+			s.helpers.mu.Lock()
+			if s.helpers.peer(m.addr).link.Connected() {
 				open++
 			}
-			s.members.mu.Unlock()
+			s.helpers.mu.Unlock()
 		}
 		if open == len(needed) {
 			return
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -28,7 +28,7 @@
 	// Of requests whose shards other routers ask.
 	msgHandedOver    = "shards handed over"
 	msgPartsReceived = "parts received"
-	msgMemberFailed  = "member failed"
+	msgHelperFailed  = "helper failed"
 	msgPartsServed   = "parts served"
 )
 
@@ -149,11 +149,11 @@
 		case msgNoTarget:
 			attrs = append(attrs, "waiting", d.waiting)
 		case msgHandedOver:
-			attrs = append(attrs, "member", d.target, "shards", d.shards, "repeat", d.repeat)
+			attrs = append(attrs, "helper", d.target, "shards", d.shards, "repeat", d.repeat)
 		case msgPartsReceived:
-			attrs = append(attrs, "member", d.target, "shards", d.shards, "took", d.took, "lacking", d.missing)
-		case msgMemberFailed:
-			attrs = append(attrs, "member", d.target, "shards", d.shards, "took", d.took, "error", d.cause, "then", d.step.String())
+			attrs = append(attrs, "helper", d.target, "shards", d.shards, "took", d.took, "lacking", d.missing)
+		case msgHelperFailed:
+			attrs = append(attrs, "helper", d.target, "shards", d.shards, "took", d.took, "error", d.cause, "then", d.step.String())
 		case msgTargetChosen:
 			attrs = append(attrs, "target", d.target, "hedge", d.hedge, "cost", d.cost, "in_flight", d.candidate.inFlight,
 				"oldest", d.candidate.oldest, "load_running", d.candidate.load.Running, "load_waiting", d.candidate.load.Waiting,
--- a/forward/server.go
+++ b/forward/server.go
@@ -68,9 +68,9 @@
 	requestLog   *requestLogger
 	workers      *workers
 	resume       *resumeGate
-	// members are the routers that send sub-requests for this one, and sharedParts the
+	// helpers are the routers that send sub-requests for this one, and sharedParts the
 	// number of shards in progress that this one asks for others.
-	members     *members
+	helpers     *helpers
 	sharedParts atomic.Int64
 	// responseMemory bounds the bodies of the responses that are being read.
 	responseMemory *response.Memory
@@ -91,7 +91,7 @@
 	s := &Server{
 		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
-		members: newMembers(c.Log), unacked: (*connpool.Conn).Unacked,
+		helpers: newHelpers(c.Log), unacked: (*connpool.Conn).Unacked,
 	}
 	s.resume = newResumeGate(c.Confirmed, time.Now())
 	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
@@ -116,7 +116,7 @@
 // Run keeps the targets and routes up to date until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	defer s.workers.close()
-	defer s.members.close()
+	defer s.helpers.close()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.checker.run(ctx) })
 	wg.Go(func() { s.resume.run(ctx) })
@@ -171,7 +171,7 @@
 	s.applyRoutes(view.Routes)
 	now := time.Now()
 	s.fleet.update(list, view, s.table.Load(), now)
-	s.members.retain(s.fleet.memberAddrs())
+	s.helpers.retain(s.fleet.helperAddrs())
 	s.fleet.applyOutliers(s.cfg.Outliers.Outliers(), now)
 }
 
--- a/telemetry/forward.go
+++ b/telemetry/forward.go
@@ -33,7 +33,7 @@
 		answered: b.histogram("peridotmux_forward_answer_seconds", "s", "Time to the answer, by route.", forwardBounds),
 		missing:  b.counter("peridotmux_forward_missing_parts", "1", "Shards that gathered answers lack, by route."),
 		refused:  b.counter("peridotmux_forward_refusals", "1", "Requests without a target's answer, by reason."),
-		handOver: b.counter("peridotmux_forward_handover_failures", "1", "Shards handed to a member that didn't answer, by what followed."),
+		handOver: b.counter("peridotmux_forward_handover_failures", "1", "Shards handed to a helper that didn't answer, by what followed."),
 		declined: b.counter("peridotmux_forward_parts_refused", "1", "Shards of other routers that were refused, by reason."),
 		attempts: b.histogram("peridotmux_forward_attempt_seconds", "s", "Time of attempts at targets, by service and outcome.", forwardBounds),
 	}
@@ -58,7 +58,7 @@
 	}
 }
 
-// HandOverFailed records that a member that shards were handed to didn't answer.
+// HandOverFailed records that a helper that shards were handed to didn't answer.
 func (f *Forward) HandOverFailed(then string) {
 	if f.handOver != nil {
 		f.handOver.Add(context.Background(), 1, metric.WithAttributes(attribute.String("then", then)))
