Leave hedges out of the test of reused connections

Shown by a scratch copy that counts arrivals: in the run with three connections two requests had reached two targets.

Change: the test's server has no budget for extra arrivals, so that only the reuse counts. The bound is as before.

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -217,6 +217,8 @@
 		entries = append(entries, s.entry())
 	}
 	f := newTestServer(t, testTable(), entries...)
+	// On a busy machine a request may be hedged, over a connection to another target.
+	f.budget = newBudget(BudgetLimits{Window: 10 * time.Second})
 	f.setGateways(40)
 	f.fleet.trim(time.Now())
 	for i := range 50 {
