Remove a replaced control member before its successor has caught up

The newest acknowledged configuration couldn't be read, and gateways that restarted forwarded by an older one (version 5, acknowledged 8) for as long as they ran.

Cause: the successor became a voter beside the dead one: four voters, three live. The dead one was removed only after 6 s of silence by the clock, counted anew from each change of leader; the check of 2 s made when the successor joined always came too early. With one more disk lost, two of four voters hold data.

Change: the node counts each member's silence in its own ticks, from the last reply or the start of its term. A voter that was silent for 2 s is removed if three voters are active. The separate check before a promotion is gone: the successor is promoted first.

TestNewTermResetsSilence tested the removed bookkeeping; its promise, that a new leader doesn't count what only its predecessor saw, is tested on the node now by TestSilenceIsCountedSinceLastReplyInTerm, which also checks the count.

--- a/consensus/group/membership.go
+++ b/consensus/group/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/peridotmux/peridotmux/consensus"
 )
@@ -16,6 +17,10 @@
 	// Active is true if the member replied in the current or the previous quorum
 	// check interval. It is false unless reported by the leader.
 	Active bool
+	// Silent is the time since the member's last reply, or since the leader began
+	// to replicate to it, by the leader's ticks: it doesn't grow while the leader
+	// is suspended. It is 0 unless reported by the leader.
+	Silent time.Duration
 	// SafeToLose is true if the group would keep a majority of active voters with
 	// all committed entries, if this member and its disk were lost now. It is
 	// false unless reported by the leader.
@@ -42,7 +47,7 @@
 	if err := g.runInLoop(ctx, func() { s = g.node.Status() }); err != nil {
 		return Status{}, err
 	}
-	return newStatus(s), nil
+	return newStatus(s, g.cfg.TickInterval), nil
 }
 
 // runInLoop runs f in the run loop and waits for it. Error: *UnconfirmedError if
@@ -64,13 +69,14 @@
 	}
 }
 
-func newStatus(s consensus.Status) Status {
+func newStatus(s consensus.Status, tick time.Duration) Status {
 	out := Status{
 		Self: s.ID, Disk: s.Disk, Leader: s.Leader, Leads: s.Role == consensus.Leader,
 		Term: s.Term, LastIndex: s.LastIndex, CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
 	}
 	for _, m := range s.Membership.Members {
 		x := MemberStatus{Member: m, Match: s.Match[m.ID], Active: s.Active[m.ID]}
+		x.Silent = time.Duration(s.SilentTicks[m.ID]) * tick
 		x.SafeToLose = out.Leads && safeToLose(s, m)
 		out.Members = append(out.Members, x)
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -157,6 +157,11 @@
 }
 
 func (n *Node) tickLeader() {
+	for id, p := range n.progress {
+		if id != n.id {
+			p.silentTicks++
+		}
+	}
 	if n.electionElapsed >= n.cfg.ElectionTicks {
 		n.electionElapsed = 0
 		if !n.checkQuorum() {
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -344,3 +344,30 @@
 		t.Errorf("%d confirmations in %d rounds, want %d in at most 4", s.confirmed, len(rounds), 2*calls)
 	}
 }
+
+// A member's silence must be counted from its last reply, and in a new term from its
+// start: a new leader must not count what only its predecessor saw.
+func TestSilenceIsCountedSinceLastReplyInTerm(t *testing.T) {
+	s := newFaultlessSim(3)
+	l := s.waitForLeader(t)
+	silent := s.follower()
+	s.crash(silent)
+	s.runTicks(10 * simElectionTicks)
+	if got := l.node.Status().SilentTicks[silent.id]; got < 9*simElectionTicks {
+		t.Fatalf("a crashed member is silent for %d ticks after %d", got, 10*simElectionTicks)
+	}
+	s.start(silent)
+	s.runTicks(3 * simElectionTicks)
+	if got := l.node.Status().SilentTicks[silent.id]; got > simElectionTicks {
+		t.Errorf("a member that replies is silent for %d ticks", got)
+	}
+
+	s.crash(silent)
+	s.runTicks(10 * simElectionTicks)
+	s.start(silent)
+	s.crash(l)
+	next := s.waitForLeader(t)
+	if got := next.node.Status().SilentTicks[l.id]; got > 5*simElectionTicks {
+		t.Errorf("at the start of a term a member is silent for %d ticks already", got)
+	}
+}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -28,6 +28,9 @@
 	// wasActive if it did in the interval before that.
 	active    bool
 	wasActive bool
+	// silentTicks counts the ticks since the member's last reply, or since the
+	// leader began to replicate to it.
+	silentTicks int
 	// round is the highest confirm round that the member acknowledged.
 	round uint64
 
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -66,6 +66,9 @@
 	// Active holds true for each member that replied in the current or the
 	// previous quorum check interval. It is nil except on the leader.
 	Active map[MemberID]bool
+	// SilentTicks holds the ticks since each member's last reply, or since the
+	// leader began to replicate to it. It is nil except on the leader.
+	SilentTicks map[MemberID]int
 }
 
 // Status returns the node's current status.
@@ -80,9 +83,11 @@
 	}
 	s.Match = make(map[MemberID]uint64)
 	s.Active = make(map[MemberID]bool)
+	s.SilentTicks = make(map[MemberID]int)
 	for id, p := range n.progress {
 		s.Match[id] = p.match
 		s.Active[id] = p.recentlyActive() || id == n.id
+		s.SilentTicks[id] = p.silentTicks
 	}
 	return s
 }
--- a/consensus/step.go
+++ b/consensus/step.go
@@ -98,6 +98,7 @@
 		return
 	}
 	p.active = true
+	p.silentTicks = 0
 	switch m.Type {
 	case MsgAppendReply:
 		n.onAppendReply(p, m)
--- a/control/formation/formation.go
+++ b/control/formation/formation.go
@@ -19,11 +19,10 @@
 	// checkInterval is the time between two checks of the members.
 	checkInterval = 500 * time.Millisecond
 	// removeAfter is how long a voter may be silent before it is removed. If it
-	// comes back, it joins again.
-	removeAfter = 6 * time.Second
-	// replaceAfter is how long a voter may be silent before a joining member
-	// replaces it.
-	replaceAfter = 2 * time.Second
+	// comes back, it joins again. A replaced VM must be gone from the voters
+	// before its successor has caught up, since the group may then lose the next
+	// disk.
+	removeAfter = 2 * time.Second
 	// minActiveVoters is the number of active voters below which no silent
 	// voter is removed: a smaller group would tolerate no further loss.
 	minActiveVoters = 3
@@ -48,16 +47,11 @@
 	// changing is held during a membership change, so that changes are made one
 	// at a time.
 	changing sync.Mutex
-	mu       sync.Mutex
-	// lastActive is when the leader last saw each member active.
-	lastActive map[consensus.MemberID]time.Time
-	// term is the term in which lastActive was recorded.
-	term uint64
 }
 
 // New returns a Formation for a group.
 func New(g Group, log *slog.Logger) *Formation {
-	return &Formation{group: g, log: log, lastActive: make(map[consensus.MemberID]time.Time)}
+	return &Formation{group: g, log: log}
 }
 
 // Run removes silent voters while this member is the leader. It returns when
@@ -75,70 +69,40 @@
 		if err != nil || !status.Leads {
 			continue
 		}
-		f.recordActivity(status, time.Now())
-		f.removeSilent(ctx, status, removeAfter)
+		f.removeSilent(ctx, status)
 	}
 }
 
-// recordActivity records which members are active. In a new term every member
-// counts as active at its start, since the new leader has no record of earlier
-// silence.
-func (f *Formation) recordActivity(s group.Status, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.term != s.Term {
-		f.term = s.Term
-		f.lastActive = make(map[consensus.MemberID]time.Time)
-	}
-	for _, m := range s.Members {
-		if _, ok := f.lastActive[m.ID]; m.Active || m.ID == s.Self || !ok {
-			f.lastActive[m.ID] = now
-		}
-	}
-}
-
-// removeSilent removes one voter that has been silent for longer than after, if
-// enough active voters remain.
-func (f *Formation) removeSilent(ctx context.Context, s group.Status, after time.Duration) {
-	silent, ok := f.longestSilent(s, time.Now(), after)
-	if !ok {
-		return
-	}
-	if !f.changing.TryLock() {
+// removeSilent removes the voter that has been silent the longest, if it has been
+// for removeAfter and enough active voters remain.
+func (f *Formation) removeSilent(ctx context.Context, s group.Status) {
+	silent, ok := longestSilent(s)
+	if !ok || !f.changing.TryLock() {
 		return
 	}
 	defer f.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	err := f.group.Remove(ctx, silent.ID)
-	f.log.Warn("silent member taken out", "id", uint64(silent.ID), "addr", silent.Addr, "after", after, "error", err)
+	f.log.Warn("silent member taken out", "id", uint64(silent.ID), "addr", silent.Addr, "silent", silent.Silent, "error", err)
 }
 
 // longestSilent returns the voter that has been silent the longest, and for at
-// least after. It returns false if there is none, or if fewer than
+// least removeAfter. It returns false if there is none, or if fewer than
 // minActiveVoters are active.
-func (f *Formation) longestSilent(s group.Status, now time.Time, after time.Duration) (group.MemberStatus, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func longestSilent(s group.Status) (group.MemberStatus, bool) {
 	var longest group.MemberStatus
-	found := false
 	active := 0
 	for _, m := range s.Members {
-		if m.Learner {
-			continue
-		}
-		if m.Active || m.ID == s.Self {
+		switch {
+		case m.Learner:
+		case m.Active || m.ID == s.Self:
 			active++
-			continue
-		}
-		if now.Sub(f.lastActive[m.ID]) < after {
-			continue
-		}
-		if !found || f.lastActive[m.ID].Before(f.lastActive[longest.ID]) {
-			longest, found = m, true
+		case m.Silent >= removeAfter && m.Silent > longest.Silent:
+			longest = m
 		}
 	}
-	return longest, found && active >= minActiveVoters
+	return longest, longest.ID != consensus.None && active >= minActiveVoters
 }
 
 // Join takes the next step towards making a member a voter: it adds it as a
@@ -178,9 +142,8 @@
 	case same && !old.Learner:
 		return true, nil
 	case same:
-		if err := f.removeReplaced(ctx, s); err != nil {
-			return false, err
-		}
+		// A voter that this member replaces is removed after the promotion, so that
+		// the group doesn't shrink if the member fails now.
 		err := f.group.Promote(ctx, id)
 		return err == nil, err
 	case found:
@@ -197,27 +160,6 @@
 	return false, f.group.AddLearner(ctx, group.Member{ID: id, Name: q.GetName(), RPC: addr})
 }
 
-// removeReplaced removes a silent voter that a new voter replaces, so that the
-// number of voters doesn't grow with each replacement.
-func (f *Formation) removeReplaced(ctx context.Context, s group.Status) error {
-	f.recordActivity(s, time.Now())
-	f.mu.Lock()
-	lastActive := f.lastActive
-	var replaced consensus.MemberID
-	for _, m := range s.Members {
-		silent := !m.Learner && !m.Active && m.ID != s.Self
-		if silent && time.Since(lastActive[m.ID]) >= replaceAfter {
-			replaced = m.ID
-		}
-	}
-	f.mu.Unlock()
-	if replaced == consensus.None {
-		return nil
-	}
-	f.log.Warn("silent member replaced", "id", uint64(replaced))
-	return f.group.Remove(ctx, replaced)
-}
-
 // find returns the member with the given ID.
 func find(s group.Status, id consensus.MemberID) (group.MemberStatus, bool) {
 	for _, m := range s.Members {
--- a/control/formation/formation_test.go
+++ b/control/formation/formation_test.go
@@ -113,18 +113,23 @@
 	}
 }
 
-// A new voter must replace a silent one. Otherwise the number of voters grows
-// with each replacement and the group tolerates fewer losses.
+// A new voter must replace a silent one, also one whose silence began too late to be
+// noticed before the promotion. Otherwise the number of voters grows with each
+// replacement and the group tolerates fewer losses.
 func TestNewMemberReplacesSilentVoter(t *testing.T) {
-	g := newFakeGroup(true, true, false)
-	f := New(g, discardLogger())
-	f.recordActivity(g.status, time.Now().Add(-2*replaceAfter))
-	q := &pb.JoinRequest{Member: 4, Disk: "new", RpcAddr: "127.0.0.1:9"}
-	for range 3 {
-		f.Join(context.Background(), q)
-	}
-	if got := g.ids(); !slices.Equal(got, []consensus.MemberID{1, 2, 4}) {
-		t.Fatalf("members %v", got)
+	for _, silent := range []time.Duration{0, 2 * removeAfter} {
+		g := newFakeGroup(true, true, false)
+		g.status.Members[2].Silent = silent
+		f := New(g, discardLogger())
+		q := &pb.JoinRequest{Member: 4, Disk: "new", RpcAddr: "127.0.0.1:9"}
+		for range 3 {
+			f.Join(context.Background(), q)
+		}
+		g.status.Members[2].Silent = removeAfter
+		f.removeSilent(context.Background(), g.status)
+		if got := g.ids(); !slices.Equal(got, []consensus.MemberID{1, 2, 4}) {
+			t.Errorf("silent for %v at first: members %v", silent, got)
+		}
 	}
 }
 
@@ -154,29 +159,18 @@
 		{"two of four", []bool{true, true, false, false}, 2 * removeAfter, false},
 	} {
 		g := newFakeGroup(c.active...)
-		f := New(g, discardLogger())
-		f.recordActivity(g.status, time.Now().Add(-c.silent))
-		f.recordActivity(g.status, time.Now())
-		f.removeSilent(context.Background(), g.status, removeAfter)
+		for i := range g.status.Members {
+			if !g.status.Members[i].Active {
+				g.status.Members[i].Silent = c.silent
+			}
+		}
+		New(g, discardLogger()).removeSilent(context.Background(), g.status)
 		if got := len(g.changes) == 1; got != c.want {
 			t.Errorf("%s: changes %v", c.name, g.changes)
 		}
 	}
 }
 
-// A new leader has no record of activity before its term. It must not remove
-// members that only its predecessor saw as silent.
-func TestNewTermResetsSilence(t *testing.T) {
-	g := newFakeGroup(true, true, true, false)
-	f := New(g, discardLogger())
-	f.recordActivity(g.status, time.Now().Add(-2*removeAfter))
-	g.status.Term++
-	f.recordActivity(g.status, time.Now())
-	if _, ok := f.longestSilent(g.status, time.Now(), removeAfter); ok {
-		t.Fatal("a member was reported silent at the start of a term")
-	}
-}
-
 // memberServer serves Join calls.
 type memberServer struct {
 	pb.DRPCMemberUnimplementedServer
