Keep enough voters for the stated losses when a silent one is removed

A silent voter was removed as long as three were active, whatever the deployment may lose. With six voters, two of them cut off, and a statement that two disks may be lost at once, the group shrank to four; two lost disks then took its majority for good, although the two that were cut off held everything that was committed.

Ruled out: keeping silent voters always. A group of 2 x losses + 1 active voters bears the stated losses without them, and more members that don't answer only raise the quorum.

Failed before: TestSilentVoterIsRemoved, rows "two losses, four of six active" and "two losses, four of five active" ("changes [remove]"); passes now.

--- a/control/daemon/self_forming.go
+++ b/control/daemon/self_forming.go
@@ -170,7 +170,7 @@
 		return nil, trace.Wrap(err)
 	}
 	m.group = g
-	m.formation = formation.New(g, m.log)
+	m.formation = formation.New(g, m.settings.ToleratedLosses, m.log)
 	return &server.Group{Log: g, Members: &membership{g}, RegisterRPC: g.Register, Run: g.Run}, nil
 }
 
--- a/control/formation/formation.go
+++ b/control/formation/formation.go
@@ -23,9 +23,9 @@
 	// before its successor has caught up, since the group may then lose the next
 	// disk.
 	removeAfter = 2 * time.Second
-	// minActiveVoters is the number of active voters below which no silent
-	// voter is removed: a smaller group would tolerate no further loss.
-	minActiveVoters = 3
+	// minToleratedLosses is the least number of lost disks that a group keeps
+	// tolerating when a silent voter is removed.
+	minToleratedLosses = 1
 	// changeTimeout limits one membership change.
 	changeTimeout = 2 * time.Second
 )
@@ -42,16 +42,22 @@
 // is safe for concurrent use.
 type Formation struct {
 	group Group
-	log   *slog.Logger
+	// minActiveVoters is the number of active voters below which no silent voter
+	// is removed. Without it, the others' disks would be the only copies of what
+	// was committed since, and the tolerated losses could take a majority of them.
+	minActiveVoters int
+	log             *slog.Logger
 
 	// changing is held during a membership change, so that changes are made one
 	// at a time.
 	changing sync.Mutex
 }
 
-// New returns a Formation for a group.
-func New(g Group, log *slog.Logger) *Formation {
-	return &Formation{group: g, log: log}
+// New returns a Formation for a group whose members may lose up to
+// toleratedLosses disks at once.
+func New(g Group, toleratedLosses int, log *slog.Logger) *Formation {
+	losses := max(toleratedLosses, minToleratedLosses)
+	return &Formation{group: g, minActiveVoters: 2*losses + 1, log: log}
 }
 
 // Run removes silent voters while this member is the leader. It returns when
@@ -76,7 +82,7 @@
 // removeSilent removes the voter that has been silent the longest, if it has been
 // for removeAfter and enough active voters remain.
 func (f *Formation) removeSilent(ctx context.Context, s group.Status) {
-	silent, ok := longestSilent(s)
+	silent, ok := f.longestSilent(s)
 	if !ok || !f.changing.TryLock() {
 		return
 	}
@@ -90,7 +96,7 @@
 // longestSilent returns the voter that has been silent the longest, and for at
 // least removeAfter. It returns false if there is none, or if fewer than
 // minActiveVoters are active.
-func longestSilent(s group.Status) (group.MemberStatus, bool) {
+func (f *Formation) longestSilent(s group.Status) (group.MemberStatus, bool) {
 	var longest group.MemberStatus
 	active := 0
 	for _, m := range s.Members {
@@ -102,7 +108,7 @@
 			longest = m
 		}
 	}
-	return longest, longest.ID != consensus.None && active >= minActiveVoters
+	return longest, longest.ID != consensus.None && active >= f.minActiveVoters
 }
 
 // Join takes the next step towards making a member a voter: it adds it as a
--- a/control/formation/formation_test.go
+++ b/control/formation/formation_test.go
@@ -102,7 +102,7 @@
 		{"a new member", newFakeGroup(true, true, true), 4, "new", []string{"add", "promote"}},
 		{"a lost disk", newFakeGroup(true, true, true), 3, "new", []string{"remove", "add", "promote"}},
 	} {
-		f := New(c.g, discardLogger())
+		f := New(c.g, 1, discardLogger())
 		var last *pb.JoinResponse
 		for range 3 {
 			last = f.Join(context.Background(), &pb.JoinRequest{Member: c.id, Disk: c.disk, RpcAddr: "127.0.0.1:9"})
@@ -120,7 +120,7 @@
 	for _, silent := range []time.Duration{0, 2 * removeAfter} {
 		g := newFakeGroup(true, true, false)
 		g.status.Members[2].Silent = silent
-		f := New(g, discardLogger())
+		f := New(g, 1, discardLogger())
 		q := &pb.JoinRequest{Member: 4, Disk: "new", RpcAddr: "127.0.0.1:9"}
 		for range 3 {
 			f.Join(context.Background(), q)
@@ -137,26 +137,32 @@
 func TestJoinAtFollowerReturnsLeaderAddr(t *testing.T) {
 	g := newFakeGroup(true, true, true)
 	g.status.Leads, g.status.Self = false, 2
-	r := New(g, discardLogger()).Join(context.Background(), &pb.JoinRequest{Member: 9, RpcAddr: "127.0.0.1:9"})
+	r := New(g, 1, discardLogger()).Join(context.Background(), &pb.JoinRequest{Member: 9, RpcAddr: "127.0.0.1:9"})
 	if r.GetLeads() || r.GetLeaderAddr() != "127.0.0.1:1" || len(g.changes) != 0 {
 		t.Fatalf("%v, changes %v", r, g.changes)
 	}
 }
 
-// A voter that is silent for long must be removed, but only if three voters are
-// active: a smaller group would tolerate no further loss.
+// A voter that is silent for long must be removed, but only if enough voters are
+// active. Otherwise the tolerated losses of disks could take a majority of those left,
+// while the removed voter holds the same entries and is only cut off.
 func TestSilentVoterIsRemoved(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		active []bool
 		silent time.Duration
+		losses int
 		want   bool
 	}{
-		{"four of five active", []bool{true, true, true, true, false}, 2 * removeAfter, true},
-		{"three of four active", []bool{true, true, true, false}, 2 * removeAfter, true},
-		{"not long enough", []bool{true, true, true, false}, removeAfter / 2, false},
-		{"only two left", []bool{true, true, false}, 2 * removeAfter, false},
-		{"two of four", []bool{true, true, false, false}, 2 * removeAfter, false},
+		{"four of five active", []bool{true, true, true, true, false}, 2 * removeAfter, 1, true},
+		{"three of four active", []bool{true, true, true, false}, 2 * removeAfter, 1, true},
+		{"not long enough", []bool{true, true, true, false}, removeAfter / 2, 1, false},
+		{"only two left", []bool{true, true, false}, 2 * removeAfter, 1, false},
+		{"two of four", []bool{true, true, false, false}, 2 * removeAfter, 1, false},
+		{"no losses stated", []bool{true, true, false}, 2 * removeAfter, 0, false},
+		{"two losses, five of six active", []bool{true, true, true, true, true, false}, 2 * removeAfter, 2, true},
+		{"two losses, four of six active", []bool{true, true, true, true, false, false}, 2 * removeAfter, 2, false},
+		{"two losses, four of five active", []bool{true, true, true, true, false}, 2 * removeAfter, 2, false},
 	} {
 		g := newFakeGroup(c.active...)
 		for i := range g.status.Members {
@@ -164,7 +170,7 @@
 				g.status.Members[i].Silent = c.silent
 			}
 		}
-		New(g, discardLogger()).removeSilent(context.Background(), g.status)
+		New(g, c.losses, discardLogger()).removeSilent(context.Background(), g.status)
 		if got := len(g.changes) == 1; got != c.want {
 			t.Errorf("%s: changes %v", c.name, g.changes)
 		}
@@ -193,7 +199,7 @@
 		t.Cleanup(cancel)
 		go func() {
 			_ = rpc.Serve(ctx, l, func(m drpc.Mux) error {
-				return pb.DRPCRegisterMember(m, &memberServer{f: New(g, discardLogger())})
+				return pb.DRPCRegisterMember(m, &memberServer{f: New(g, 1, discardLogger())})
 			})
 		}()
 		return netip.MustParseAddrPort(l.Addr().String())
--- a/control/formation/replacement_test.go
+++ b/control/formation/replacement_test.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	f := formation.New(g, log)
+	f := formation.New(g, 1, log)
 	joiner := &formation.Joiner{
 		Self:  formation.Self{ID: v.ID, Name: v.Name, Disk: g.Disk(), RPC: v.RPC},
 		Group: g, Log: log, Seeds: c.seedAddrs,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -84,7 +84,7 @@
 		Readiness:  required(s, "readiness", addrValue),
 		Pages:      required(s, "pages", addrValue),
 		Grace:      optional(s, "grace", durationValue(0, maxPlatformTime), defaultGrace),
-		MemoryMB:   required(s, "memory_mb", roundedDownValue(maxMemoryMB)),
+		MemoryMB:   required(s, "memory_mb", roundedDownValue(1, maxMemoryMB)),
 		LinkMbps:   required(s, "link_mbps", weightValue),
 		Control:    readSeeds(s),
 		Budget:     readBudget(d),
@@ -102,6 +102,13 @@
 	return g, nil
 }
 
+const (
+	// defaultToleratedLosses applies if the platform states none, and
+	// maxToleratedLosses bounds the number.
+	defaultToleratedLosses = 1
+	maxToleratedLosses     = 1 << 20
+)
+
 // maxMemoryMB bounds the memory of a process, in MiB.
 const maxMemoryMB = 1 << 20
 
@@ -148,10 +155,12 @@
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool
 	DataFolder string
-	TargetList TargetList
-	MemoryMB   int
-	Log        Log
-	Bounds     Bounds
+	// ToleratedLosses is the number of members that may lose their disks at once.
+	ToleratedLosses int
+	TargetList      TargetList
+	MemoryMB        int
+	Log             Log
+	Bounds          Bounds
 }
 
 // LoadSelfFormingControl reads the settings file of a control member whose group
@@ -167,12 +176,13 @@
 		Region:     required(s, "region", nameOf[topology.Region]()),
 		FirstStart: required(s, "first_start", templateBoolValue),
 		DataFolder: required(s, "data_folder", folderValue(path)),
-		MemoryMB:   required(s, "memory_mb", roundedDownValue(maxMemoryMB)),
+		MemoryMB:   required(s, "memory_mb", roundedDownValue(1, maxMemoryMB)),
 		Seeds:      readSeeds(s),
 		TargetList: readTargetList(d),
 		Log:        readLog(d),
 		Bounds:     readBounds(d),
 	}
+	c.ToleratedLosses = optional(s, "tolerated_losses", roundedDownValue(0, maxToleratedLosses), defaultToleratedLosses)
 	c.RPCListen = optional(s, "rpc_listen", addrValue, c.VM.RPC)
 	d.checkSections("[control], [target list], [log], [log levels] or [bounds]", func(name string) bool {
 		return name == sectionControl || name == sectionList || isCommon(name)
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -79,7 +79,11 @@
 // member that is rejected, or whose values end up in the wrong fields.
 func TestSelfFormingControlFile(t *testing.T) {
 	c, err := LoadSelfFormingControl(fileOf(t, selfFormingFile))
-	if err != nil || !c.FirstStart || len(c.Seeds) != 2 {
+	if err != nil || !c.FirstStart || len(c.Seeds) != 2 || c.ToleratedLosses != defaultToleratedLosses {
+		t.Fatalf("%+v, %v", c, err)
+	}
+	c, err = LoadSelfFormingControl(fileOf(t, strings.Replace(selfFormingFile, "first_start", "tolerated_losses = 2\nfirst_start", 1)))
+	if err != nil || c.ToleratedLosses != 2 {
 		t.Fatalf("%+v, %v", c, err)
 	}
 	if err := Check(fileOf(t, selfFormingFile)); err != nil {
@@ -109,6 +113,8 @@
 		{selfFormingFile, "first_start = true", "first_start = perhaps", "first_start"},
 		{selfFormingFile, "data_folder = .", "data_folder = nowhere", "data_folder"},
 		{selfFormingFile, "control = 127.0.0.2:9000", "control = here", "control"},
+		{selfFormingFile, "first_start = true", "first_start = true\ntolerated_losses = -1", "tolerated_losses"},
+		{selfFormingFile, "first_start = true", "first_start = true\ntolerated_losses = some", "tolerated_losses"},
 	} {
 		err := Check(fileOf(t, strings.Replace(c.file, c.old, c.new, 1)))
 		var faults Faults
--- a/settings/value.go
+++ b/settings/value.go
@@ -69,12 +69,12 @@
 }
 
 // roundedDownValue is a number that is rounded down to a whole one.
-func roundedDownValue(most int) value[int] {
+func roundedDownValue(least, most int) value[int] {
 	return value[int]{
-		expected: "a number from 1 to " + itoa(most),
+		expected: "a number from " + itoa(least) + " to " + itoa(most),
 		parse: func(s string) (int, bool) {
 			f, err := strconv.ParseFloat(s, 64)
-			return int(f), err == nil && f >= 1 && f <= float64(most)
+			return int(f), err == nil && f >= float64(least) && f <= float64(most)
 		},
 	}
 }
