--- a/consensus/group/cluster_test.go
+++ b/consensus/group/cluster_test.go
@@ -73,6 +73,14 @@
 	return m.applied - len(m.commands)
 }
 
+// appliedCount returns the number of commands applied since the start, including
+// duplicates.
+func (m *recordingMachine) appliedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
+
 func (m *recordingMachine) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -100,6 +108,8 @@
 	snapshotEvery uint64
 	partitions    *partitions
 	discard       bool
+	// journal selects the journal engine.
+	journal bool
 	// selfOnly is the member that is configured with itself only, none if 0.
 	selfOnly consensus.MemberID
 	// configured is the number of members in the configuration of the first
@@ -147,7 +157,7 @@
 	}
 	g, err := group.Open(group.Config{
 		ID: id, GroupName: "test", Members: members, DataDir: c.dirs[id], Bootstrap: bootstrap,
-		StateMachine: j, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
+		StateMachine: j, UseJournal: c.journal, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
 		Dial: c.dialer(id),
 	})
 	if err != nil {
--- a/consensus/group/config.go
+++ b/consensus/group/config.go
@@ -15,11 +15,14 @@
 )
 
 // Default values for the zero fields of Config. DefaultSnapshotEvery and
-// DefaultTrailingEntries are numbers of entries.
+// DefaultTrailingEntries are numbers of entries, DefaultSnapshotBytes and
+// DefaultTrailingBytes are sizes of entries.
 const (
 	DefaultTickInterval    = 30 * time.Millisecond
 	DefaultSnapshotEvery   = 10_000
+	DefaultSnapshotBytes   = 4 << 20
 	DefaultTrailingEntries = 5_000
+	DefaultTrailingBytes   = 1 << 20
 )
 
 const (
@@ -38,8 +41,9 @@
 	RPC  netip.AddrPort
 }
 
-// Config configures a Group. Zero values of SnapshotEvery, TrailingEntries and
-// TickInterval select the defaults; a nil Logger discards all lines.
+// Config configures a Group. Zero values of SnapshotEvery, SnapshotBytes,
+// TrailingEntries, TrailingBytes and TickInterval select the defaults; a nil Logger
+// discards all lines.
 type Config struct {
 	// ID is this member's ID. Members must contain it.
 	ID consensus.MemberID
@@ -59,11 +63,16 @@
 	// UseJournal selects the journal engine, which needs one sync per write,
 	// instead of bbolt.
 	UseJournal bool
-	// SnapshotEvery is the number of applied entries between snapshots.
+	// SnapshotEvery is the number, and SnapshotBytes the size, of the applied
+	// entries after which a snapshot is taken. A larger snapshot delays the next
+	// one, see snapshotIfDue.
 	SnapshotEvery uint64
-	// TrailingEntries is the number of entries kept in memory after a snapshot, so
-	// that members slightly behind can catch up without a snapshot transfer.
+	SnapshotBytes uint64
+	// TrailingEntries is the number, and TrailingBytes the size, up to which entries
+	// are kept in memory after a snapshot, so that members slightly behind can catch
+	// up without a snapshot transfer.
 	TrailingEntries uint64
+	TrailingBytes   uint64
 	// TickInterval is the duration of one tick of the node. It must not exceed the
 	// heartbeat interval.
 	TickInterval time.Duration
@@ -80,9 +89,15 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
 	}
+	if c.TrailingBytes == 0 {
+		c.TrailingBytes = DefaultTrailingBytes
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -55,6 +55,10 @@
 	applied       uint64
 	appliedTerm   uint64
 	snapshotIndex uint64
+	// appliedBytes is the size of the entries applied since the last snapshot, and
+	// snapshotBytes the size of that snapshot.
+	appliedBytes  uint64
+	snapshotBytes uint64
 	ticker        *time.Ticker
 	// lastHeartbeats are the latest heartbeats that were sent, for save.
 	lastHeartbeats []consensus.Message
@@ -144,6 +148,7 @@
 
 func (g *Group) start(state storage.State) {
 	g.snapshotIndex, g.applied, g.appliedTerm = state.Snapshot.Index, state.Snapshot.Index, state.Snapshot.Term
+	g.snapshotBytes = uint64(len(state.Snapshot.Data))
 	g.node = consensus.New(consensus.Config{
 		ID:             g.cfg.ID,
 		Disk:           g.disk,
--- a/consensus/group/ready.go
+++ b/consensus/group/ready.go
@@ -55,6 +55,7 @@
 	}
 	g.cfg.Logger.Info("consensus snapshot restored", "index", s.Index, "bytes", len(s.Data))
 	g.snapshotIndex, g.applied, g.appliedTerm = s.Index, s.Index, s.Term
+	g.appliedBytes, g.snapshotBytes = 0, uint64(len(s.Data))
 	for index := range g.waiters {
 		if index <= s.Index {
 			g.resolve(index, nil, unknownOutcome(ErrSnapshotRestored))
@@ -73,14 +74,26 @@
 			g.cfg.Logger.Info("consensus membership committed", "index", e.Index, "members", len(e.Membership.Members))
 		}
 		g.applied, g.appliedTerm = e.Index, e.Term
+		g.appliedBytes += uint64(e.Size()) //nolint:gosec // A size isn't negative.
 		g.resolveApplied(e, result)
 	}
 }
 
-// snapshotIfDue takes a snapshot and compacts the log if SnapshotEvery entries
-// were applied since the last one.
+// snapshotDue reports whether enough was applied since the last snapshot: a number
+// of entries, or a size. The size is at least that of the last snapshot, so that a
+// large state isn't written again for every few entries. It bounds the data folder,
+// the memory and the time of a start where single entries are large.
+func (g *Group) snapshotDue() bool {
+	if g.applied == g.snapshotIndex {
+		return false
+	}
+	return g.applied-g.snapshotIndex >= g.cfg.SnapshotEvery ||
+		g.appliedBytes >= max(g.cfg.SnapshotBytes, g.snapshotBytes)
+}
+
+// snapshotIfDue takes a snapshot if it is due, and compacts the log.
 func (g *Group) snapshotIfDue() error {
-	if g.applied-g.snapshotIndex < g.cfg.SnapshotEvery {
+	if !g.snapshotDue() {
 		return nil
 	}
 	data, err := g.cfg.StateMachine.Snapshot()
@@ -93,8 +106,8 @@
 		return err
 	}
 	keep := s.Index - min(s.Index, g.cfg.TrailingEntries)
-	g.node.Compact(s, keep)
-	g.snapshotIndex = s.Index
+	g.node.Compact(s, keep, g.cfg.TrailingBytes)
+	g.snapshotIndex, g.snapshotBytes, g.appliedBytes = s.Index, uint64(len(data)), 0
 	g.cfg.Logger.Info("consensus snapshot taken", "index", s.Index, "bytes", len(data))
 	return nil
 }
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -172,6 +172,20 @@
 	l.compactedIndex, l.compactedTerm = keep, t
 }
 
+// indexBefore returns the lowest index after which the entries up to and including
+// through have at most maxBytes in total.
+func (l *entryLog) indexBefore(through, maxBytes uint64) uint64 {
+	size := uint64(0)
+	for through > l.compactedIndex {
+		size += uint64(l.entries[through-l.compactedIndex-1].Size()) //nolint:gosec // A size isn't negative.
+		if size > maxBytes {
+			break
+		}
+		through--
+	}
+	return through
+}
+
 // restore replaces the whole log by a snapshot.
 func (l *entryLog) restore(s Snapshot) {
 	*l = newEntryLog(s, nil, s.Index)
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -274,9 +274,10 @@
 }
 
 // Compact records a snapshot that the caller took and persisted at an applied
-// index, and discards the entries up to and including keep.
-func (n *Node) Compact(s Snapshot, keep uint64) {
-	n.log.compact(s, keep)
+// index, and discards the entries up to and including keep, and more if those
+// between keep and the snapshot's index are larger than maxBytes.
+func (n *Node) Compact(s Snapshot, keep, maxBytes uint64) {
+	n.log.compact(s, max(keep, n.log.indexBefore(s.Index, maxBytes)))
 }
 
 // MembershipAt returns the membership as of an applied index. The index must not
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -13,7 +13,9 @@
 	simElectionTicks  = 10
 	simHeartbeatTicks = 2
 	simTrailing       = 3
-	commandBytes      = 4
+	// simTrailingBytes is less than the size of simTrailing entries.
+	simTrailingBytes = 80
+	commandBytes     = 4
 )
 
 // violation is the panic value for a violated safety property.
@@ -368,5 +370,5 @@
 	p.disk.snapshot = snap
 	p.disk.entries = slices.DeleteFunc(slices.Clone(p.disk.entries), func(e consensus.Entry) bool { return e.Index <= snap.Index })
 	p.disk.sync()
-	p.node.Compact(snap, snap.Index-min(snap.Index, simTrailing))
+	p.node.Compact(snap, snap.Index-min(snap.Index, simTrailing), simTrailingBytes)
 }
--- a/control/daemon/self_forming.go
+++ b/control/daemon/self_forming.go
@@ -33,7 +33,8 @@
 const (
 	// snapshotInterval is the number of log entries between snapshots, and
 	// trailingEntries the number kept after one. Both are small to bound the
-	// memory on small VMs, since each entry may hold a complete route document.
+	// memory on small VMs; the sizes that package group sets by default bound it for
+	// entries that hold complete route documents.
 	snapshotInterval = 256
 	trailingEntries  = 64
 )
