Log route documents compressed

A change of a configuration of 0.5 MB stood in the log as base64 of the whole document in JSON, 0.69 MB an entry, and travelled so to each member, though members store it and routers get it compressed anyway.

Ruled out: a difference per change in place of the document, since what was sent must be read back to the letter and a version may follow any other.

Change: the proposer compresses the document; members store it as it comes.

Failed before: TestRoutesAreLoggedCompressed ("an entry of 686908 bytes for a document of 515157"); it demands a quarter of the document and passes now.

--- a/control/orders/orders.go
+++ b/control/orders/orders.go
@@ -67,7 +67,11 @@
 		// What this member has applied is committed.
 		return nil
 	}
-	return o.propose(ctx, &state.Command{Routes: &state.Routes{Version: version, Body: body}})
+	c, err := state.NewRoutes(version, body)
+	if err != nil {
+		return err
+	}
+	return o.propose(ctx, c)
 }
 
 // SetQuiet takes a data centre out of service or brings it back. It returns
--- a/control/state/command.go
+++ b/control/state/command.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/api"
+	"github.com/peridotmux/peridotmux/rpc"
+	"github.com/peridotmux/peridotmux/rpc/pb"
 	"github.com/peridotmux/peridotmux/topology"
 )
 
@@ -38,7 +40,29 @@
 // only if its version is higher than the current one.
 type Routes struct {
 	Version uint64 `json:"v"`
-	Body    []byte `json:"b"`
+	// Deflated is the document as rpc.PackRoutes compresses it.
+	Deflated []byte `json:"z,omitempty"`
+	// Body is the document as it is. Logs of earlier versions hold it in place of
+	// Deflated.
+	Body []byte `json:"b,omitempty"`
+}
+
+// NewRoutes returns the command for a route document. The error is an
+// *rpc.BadRoutesError.
+func NewRoutes(version uint64, document []byte) (*Command, error) {
+	packed, err := rpc.PackRoutes(version, document)
+	if err != nil {
+		return nil, err
+	}
+	return &Command{Routes: &Routes{Version: version, Deflated: packed.GetDeflated()}}, nil
+}
+
+// record returns the document as it is stored and sent to routers.
+func (r *Routes) record() (*pb.RoutesRecord, error) {
+	if r.Deflated == nil {
+		return rpc.PackRoutes(r.Version, r.Body)
+	}
+	return &pb.RoutesRecord{Version: r.Version, Deflated: r.Deflated}, nil
 }
 
 // QuietOrder takes a data centre out of service or brings it back, without a
--- a/control/state/routes.go
+++ b/control/state/routes.go
@@ -15,7 +15,7 @@
 	if s.view.Routes != nil && r.Version <= s.view.Routes.Version {
 		return
 	}
-	packed, err := rpc.PackRoutes(r.Version, r.Body)
+	packed, err := r.record()
 	if err != nil {
 		// Writing to memory doesn't fail.
 		panic(err)
