Process messages between batches of committed entries

A member did all of the node's pending work before it took the next input. After a restart that is every entry known to be committed, so that it gave no vote, no heartbeat and no confirmation until all were applied.

Change: a Ready holds at most 1 MiB of committed entries, and the group's loop processes one Ready, then the inputs that wait, and doesn't block while work is left.

The simulated histories run with small batches too.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -19,6 +19,10 @@
 	MaxInflight int
 	// MaxUncommitted limits the uncommitted entries of a leader.
 	MaxUncommitted int
+	// MaxCommittedBytes limits the total size of the committed entries in one
+	// Ready, so that the caller can process messages between them. A single larger
+	// entry is returned in a Ready of its own.
+	MaxCommittedBytes int
 	// SnapshotChunkBytes limits the data in one MsgSnapshot.
 	SnapshotChunkBytes int
 	// Random is the source of the election timeouts. The default is seeded
@@ -37,6 +41,7 @@
 	DefaultMaxAppendBytes     = 1 << 20
 	DefaultMaxInflight        = 64
 	DefaultMaxUncommitted     = 1 << 16
+	DefaultMaxCommittedBytes  = 1 << 20
 	DefaultSnapshotChunkBytes = 256 << 10
 )
 
@@ -52,6 +57,7 @@
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.MaxUncommitted, DefaultMaxUncommitted)
+	setDefault(&c.MaxCommittedBytes, DefaultMaxCommittedBytes)
 	setDefault(&c.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(uint64(c.ID), 0))
--- a/consensus/group/cluster_test.go
+++ b/consensus/group/cluster_test.go
@@ -30,9 +30,12 @@
 	applied int
 	// discard disables recording, for benchmarks.
 	discard bool
+	// applyTime is how long Apply takes.
+	applyTime time.Duration
 }
 
 func (m *recordingMachine) Apply(_ uint64, data []byte) any {
+	time.Sleep(m.applyTime)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applied++
@@ -110,6 +113,10 @@
 	discard       bool
 	// journal selects the journal engine.
 	journal bool
+	// snapshotBytes is Config.SnapshotBytes.
+	snapshotBytes uint64
+	// applyTime is how long members take to apply a command.
+	applyTime time.Duration
 	// selfOnly is the member that is configured with itself only, none if 0.
 	selfOnly consensus.MemberID
 	// configured is the number of members in the configuration of the first
@@ -147,7 +154,7 @@
 
 func (c *cluster) start(id consensus.MemberID, bootstrap bool) *process {
 	c.t.Helper()
-	j := &recordingMachine{discard: c.discard}
+	j := &recordingMachine{discard: c.discard, applyTime: c.applyTime}
 	members := c.members
 	if c.configured > 0 {
 		members = members[:max(c.configured, int(id))]
@@ -157,7 +164,7 @@
 	}
 	g, err := group.Open(group.Config{
 		ID: id, GroupName: "test", Members: members, DataDir: c.dirs[id], Bootstrap: bootstrap,
-		StateMachine: j, UseJournal: c.journal, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
+		StateMachine: j, UseJournal: c.journal, SnapshotBytes: c.snapshotBytes, SnapshotEvery: c.snapshotEvery, TrailingEntries: c.snapshotEvery,
 		Dial: c.dialer(id),
 	})
 	if err != nil {
--- a/consensus/group/group.go
+++ b/consensus/group/group.go
@@ -171,25 +171,46 @@
 			g.cfg.Logger.Error("consensus member stops", "error", err)
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if !g.processInput(ctx) {
 			return nil
-		case <-g.ticker.C:
-			g.tick()
-		case m := <-g.inbox:
-			g.node.Step(m)
-		case p := <-g.proposals:
-			g.appendOrReject(p)
-		case c := <-g.confirms:
-			g.confirm.waiting = append(g.confirm.waiting, c)
-		case f := <-g.loopCalls:
-			f()
 		}
 		g.drainQueues()
 		g.startConfirm()
 	}
 }
 
+// alwaysReady is a closed channel.
+var alwaysReady = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// processInput waits for one input and processes it. It doesn't wait while the node
+// has work left. It returns false if ctx ended.
+func (g *Group) processInput(ctx context.Context) bool {
+	var work chan struct{}
+	if g.node.HasReady() {
+		work = alwaysReady
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-g.ticker.C:
+		g.tick()
+	case m := <-g.inbox:
+		g.node.Step(m)
+	case p := <-g.proposals:
+		g.appendOrReject(p)
+	case c := <-g.confirms:
+		g.confirm.waiting = append(g.confirm.waiting, c)
+	case f := <-g.loopCalls:
+		f()
+	case <-work:
+	}
+	return true
+}
+
 func (g *Group) tick() {
 	g.node.Tick()
 	g.expireConfirm()
--- a/consensus/group/ready.go
+++ b/consensus/group/ready.go
@@ -4,26 +4,29 @@
 	"github.com/peridotmux/peridotmux/consensus"
 )
 
-// processReady does the node's pending work until there is none.
+// processReady does one batch of the node's pending work, if there is any. The
+// caller processes inputs in between, so that a member which applies many entries
+// still votes and answers.
 func (g *Group) processReady() error {
-	for g.node.HasReady() {
-		r := g.node.Ready()
-		if err := g.persist(r); err != nil {
-			return err
-		}
-		if err := g.restore(r.Snapshot); err != nil {
-			return err
-		}
-		g.links.openNew(g.node.Membership())
-		g.links.send(r.Messages)
-		g.recordHeartbeats(r.Messages)
-		g.apply(r.Committed)
-		g.node.Advance(r)
-		g.publishLeadership()
-		g.finishConfirms(r.Confirmed)
-		if err := g.snapshotIfDue(); err != nil {
-			return err
-		}
+	if !g.node.HasReady() {
+		return g.fatalErr
+	}
+	r := g.node.Ready()
+	if err := g.persist(r); err != nil {
+		return err
+	}
+	if err := g.restore(r.Snapshot); err != nil {
+		return err
+	}
+	g.links.openNew(g.node.Membership())
+	g.links.send(r.Messages)
+	g.recordHeartbeats(r.Messages)
+	g.apply(r.Committed)
+	g.node.Advance(r)
+	g.publishLeadership()
+	g.finishConfirms(r.Confirmed)
+	if err := g.snapshotIfDue(); err != nil {
+		return err
 	}
 	return g.fatalErr
 }
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -67,20 +67,26 @@
 }
 
 // slice returns the entries from an index on, up to maxBytes in total but at
-// least one if there is any.
+// least one if there is any. It returns none if they are discarded.
 func (l *entryLog) slice(from uint64, maxBytes int) []Entry {
 	if from > l.lastIndex() || from <= l.compactedIndex {
 		return nil
 	}
-	rest := l.entries[from-l.compactedIndex-1:]
+	return l.upToBytes(from, l.lastIndex(), maxBytes)
+}
+
+// upToBytes returns the first entries in [from, to], up to maxBytes in total but at
+// least one if there is any.
+func (l *entryLog) upToBytes(from, to uint64, maxBytes int) []Entry {
+	all := l.between(from, to)
 	size := 0
-	for i := range rest {
-		size += rest[i].Size()
+	for i := range all {
+		size += all[i].Size()
 		if i > 0 && size > maxBytes {
-			return rest[:i:i]
+			return all[:i:i]
 		}
 	}
-	return rest[:len(rest):len(rest)]
+	return all
 }
 
 // between returns the entries in [from, to].
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -20,7 +20,7 @@
 		Messages:         n.messages,
 		Confirmed:        n.confirmed,
 	}
-	r.Committed = n.log.between(n.log.applied+1, n.log.committed)
+	r.Committed = n.log.upToBytes(n.log.applied+1, n.log.committed, n.cfg.MaxCommittedBytes)
 	r.MustSync = r.Snapshot != nil || len(r.Entries) > 0 || h.Term != n.savedHardState.Term || h.Vote != n.savedHardState.Vote
 	n.messages = nil
 	n.confirmed = nil
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -152,7 +152,7 @@
 	p.minIndex = map[uint64]uint64{}
 	p.node = consensus.New(consensus.Config{
 		ID: p.id, Disk: d.id, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
-		MaxAppendBytes: 100, MaxInflight: 3, SnapshotChunkBytes: 24,
+		MaxAppendBytes: 100, MaxInflight: 3, SnapshotChunkBytes: 24, MaxCommittedBytes: 80,
 		Random:    rand.New(rand.NewPCG(s.random.Uint64(), 2)),
 		HardState: d.hard, Snapshot: d.snapshot, Entries: d.entries,
 	})
