Count attempts as runs although a host doesn't acknowledge them

Cause: a send queue that isn't empty 50 ms after the write was taken as proof that the host is gone. The connection was closed, the attempt left out of the runs, and the next target asked.

Ruled out: a longer time limit, since kernels may delay an acknowledgement by 200 ms, past the objectives here; and a freed attempt after more evidence, since nothing short of the target's word shows that delivered bytes weren't run.

Change: silence only steers. The request is hedged at once, the service's other targets go first until the silent one is heard of or a health check reaches it, and a target that answered anything since the sending isn't silent. The attempt goes on, its answer is used, it counts as a run.

--- a/forward/ackwatch.go
+++ b/forward/ackwatch.go
@@ -7,26 +7,30 @@
 	"github.com/peridotmux/peridotmux/internal/connpool"
 )
 
-// ackTime is how long a target's host may take to acknowledge a request's bytes. Hosts
-// acknowledge received bytes within 40 ms, whatever the process does with them.
+// ackTime is how long a target's host may take to acknowledge a request's bytes before
+// the target counts as silent. Hosts delay acknowledgements by 40 ms and more, a busy one
+// on either side by up to 200 ms, so silence is a reason to ask another target early. It
+// proves nothing about the request.
 const ackTime = 50 * time.Millisecond
 
-// ackWatch ends an attempt whose bytes the target's host doesn't acknowledge: the
-// host is down or cut off. It answers the load on shards whose targets fell silent,
-// which is otherwise only known when requests there are overdue.
+// ackWatch reports that a target's host hasn't acknowledged a request within ackTime. It
+// answers the load on shards whose targets fell silent, which is otherwise only known
+// when requests there are overdue.
 type ackWatch struct {
-	conn    *connpool.Conn
-	unacked func(*connpool.Conn) bool
-	timer   *time.Timer
+	conn     *connpool.Conn
+	unacked  func(*connpool.Conn) bool
+	onSilent func()
+	timer    *time.Timer
 
 	mu sync.Mutex
-	// ended means that the attempt ended, and unreachable that the watch ended it.
-	ended, unreachable bool
+	// ended means that the attempt ended, so that conn may not be asked any more.
+	ended bool
 }
 
-// startAckWatch watches a request that was just written to c.
-func startAckWatch(c *connpool.Conn, unacked func(*connpool.Conn) bool) *ackWatch {
-	w := &ackWatch{conn: c, unacked: unacked}
+// startAckWatch watches a request that was just written to c. onSilent is called at most
+// once, and not after stop.
+func startAckWatch(c *connpool.Conn, unacked func(*connpool.Conn) bool, onSilent func()) *ackWatch {
+	w := &ackWatch{conn: c, unacked: unacked, onSilent: onSilent}
 	w.timer = time.AfterFunc(ackTime, w.check)
 	return w
 }
@@ -34,24 +38,15 @@
 func (w *ackWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ended || !w.unacked(w.conn) {
-		return
+	if !w.ended && w.unacked(w.conn) {
+		w.onSilent()
 	}
-	w.unreachable = true
-	_ = w.conn.Net.SetDeadline(time.Unix(1, 0))
 }
 
-// stop ends the watch and reports whether the target's host was unreachable.
-func (w *ackWatch) stop() bool {
+// stop ends the watch.
+func (w *ackWatch) stop() {
 	w.timer.Stop()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
-	return w.unreachable
 }
-
-// UnreachableError means that a target's host didn't acknowledge a request's bytes.
-type UnreachableError struct{}
-
-// Error describes the failure.
-func (*UnreachableError) Error() string { return "the target's host doesn't acknowledge the request" }
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -70,6 +70,12 @@
 	// suspect means that the target may have restarted. It gets no requests until a
 	// health check has reached it.
 	suspect bool
+	// silent means that the target's host didn't acknowledge a request in time and that
+	// nothing was heard from the target since. It gets requests only if the service's
+	// other targets are silent, too.
+	silent bool
+	// heardAt is when the target last answered a request.
+	heardAt time.Time
 	// checking means that a health check is in progress.
 	checking bool
 	// nextCheckAt is the earliest time of the next health check.
@@ -199,6 +205,9 @@
 // recordOutcome applies the outcome of one attempt. median is the median service
 // time of the route's requests.
 func (b *backend) recordOutcome(o *Outcome, median time.Duration, now time.Time) {
+	if o.Status != 0 {
+		b.silent, b.heardAt = false, now
+	}
 	if o.Withdrawn {
 		// Connecting took long, which says little about the target.
 		return
@@ -228,7 +237,7 @@
 		b.replaced = true
 	case o.OverConnectionLimit:
 		b.connLimitedUntil, b.crowdedAt = now.Add(connLimitBackoff), now
-	case o.ConnectFailed, o.ConnectionLost, o.Unreachable, b.pool.RestartSuspected():
+	case o.ConnectFailed, o.ConnectionLost, b.pool.RestartSuspected():
 		b.suspect = true
 		b.pool.CloseIdle()
 	case o.TimedOut:
--- a/forward/call.go
+++ b/forward/call.go
@@ -27,6 +27,9 @@
 	hedge     bool
 	endedAt   time.Time
 	sendState *sendState
+	// silent means that the attempt is still in flight and its target's host hasn't
+	// acknowledged it. The other fields but shard and backend are empty then.
+	silent bool
 }
 
 // call is one request to one service, with its attempts. Its methods are called by
@@ -49,9 +52,11 @@
 	// attempts that ended and certainly didn't run.
 	inFlight, rejections int
 	// targetRejections is the number of attempts that a target received but didn't
-	// run, and unreachable the number of those to hosts that were down or cut off.
-	targetRejections, unreachable int
-	hedged                        bool
+	// run.
+	targetRejections int
+	hedged           bool
+	// silent is the number of attempts that the target's host didn't acknowledge.
+	silent int
 	// budgetDenied means that the budget had no room for another attempt.
 	budgetDenied bool
 	// objective is when the response should be there, zero if requests don't wait for
@@ -64,6 +69,10 @@
 	heldBack bool
 }
 
+// resultsPerCall returns how many results a call may deliver that nobody receives any
+// more: one for each attempt.
+func resultsPerCall(r *route.Route) int { return r.Attempts + maxRejections + 1 }
+
 // pending reports whether the call may still get an answer.
 func (c *call) pending() bool { return c.inFlight > 0 || c.waiting || c.heldBack }
 
@@ -105,15 +114,10 @@
 	return n
 }
 
-// possibleRuns returns the number of attempts that ran or still may. Those to hosts
-// that are down or cut off don't count if the request may run more than once.
-func (c *call) possibleRuns() int {
-	n := c.arrivals() - c.targetRejections
-	if c.req.route.Kind == route.Idempotent {
-		n -= c.unreachable
-	}
-	return n
-}
+// possibleRuns returns the number of attempts that ran or still may. Only a target's
+// word that it didn't run one takes it off: bytes that a host didn't acknowledge may
+// have arrived.
+func (c *call) possibleRuns() int { return c.arrivals() - c.targetRejections }
 
 // withdrawPending withdraws the attempts that still wait for a connection.
 func (c *call) withdrawPending() {
@@ -179,7 +183,8 @@
 	a := &attempt{
 		headers: &c.server.cfg.Headers, pool: sel.backend.pool, targetID: id,
 		request: c.req, deadline: c.req.deadline, sendState: s, memory: c.server.responseMemory,
-		unacked: c.server.unacked,
+		unacked:  c.server.unacked,
+		onSilent: func() { c.reportSilence(shard, sel.backend, now, results) },
 	}
 	c.server.workers.run(func() {
 		r := &result{shard: shard, backend: sel.backend, hedge: hedge, sendState: s, outcome: a.run(ctx)}
@@ -190,6 +195,26 @@
 	return true
 }
 
+// reportSilence tells the fleet and the call that the host of an attempt's target
+// doesn't acknowledge it. since is when the attempt started.
+func (c *call) reportSilence(shard int, b *backend, since time.Time, results chan<- *result) {
+	if !c.server.fleet.markSilent(b, since) {
+		return
+	}
+	c.req.trace.add(decision{msg: msgTargetSilent, at: time.Now(), service: c.service, target: string(b.id)})
+	select {
+	case results <- &result{shard: shard, backend: b, silent: true}:
+	default:
+		// The hedge comes by its timer.
+	}
+}
+
+// hedgeSilent hedges the request because the host of its target is silent.
+func (c *call) hedgeSilent(ctx context.Context, shard int, results chan<- *result, level urgency) {
+	c.silent++
+	c.hedge(ctx, shard, results, level)
+}
+
 // recordEnd records the outcome of an attempt.
 func (c *call) recordEnd(sel *selection, r *result) {
 	out := &r.outcome
@@ -202,10 +227,13 @@
 }
 
 // mayWait reports whether the request may wait for a target: nothing of it is in
-// flight or has run, and a target is only too busy. Targets that rejected it are asked
-// again then.
+// flight or has run, but at silent hosts, and a target is only too busy. Targets that
+// rejected it are asked again then.
 func (c *call) mayWait(crit *criteria, now time.Time) bool {
-	if c.objective.IsZero() || c.inFlight > 0 || c.possibleRuns() > 0 || c.rejections > maxRejections {
+	if c.objective.IsZero() || c.inFlight > c.silent || c.rejections > maxRejections {
+		return false
+	}
+	if c.possibleRuns() > c.silent || c.possibleRuns() >= c.attempts {
 		return false
 	}
 	c.tried = slices.DeleteFunc(c.tried, func(b *backend) bool { return slices.Contains(c.rejectedBy, b) })
@@ -238,9 +266,6 @@
 			c.rejectedBy = append(c.rejectedBy, r.backend)
 		}
 	}
-	if r.outcome.Unreachable {
-		c.unreachable++
-	}
 	if r.sendState.withdrawn() && c.inFlight > 0 {
 		return false
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -86,9 +86,6 @@
 	Cancelled bool
 	// Withdrawn means that the router withdrew the attempt before it was sent.
 	Withdrawn bool
-	// Unreachable means that the target's host didn't acknowledge the request, so that
-	// it is down or cut off and most likely got nothing.
-	Unreachable bool
 	// PoolFull means that all connections that this router may have to the target are
 	// in use.
 	PoolFull bool
@@ -138,6 +135,8 @@
 	memory *response.Memory
 	// unacked reports whether the target's host hasn't acknowledged all that was sent.
 	unacked func(*connpool.Conn) bool
+	// onSilent is called if it hasn't within ackTime.
+	onSilent func()
 }
 
 // run sends the request and waits for its response. When ctx ends, no later than
@@ -180,7 +179,7 @@
 	defer stop()
 	out, reusable := a.roundTrip(c)
 	if out.Cause != nil {
-		out.Cancelled = !out.Unreachable && errors.Is(ctx.Err(), context.Canceled)
+		out.Cancelled = errors.Is(ctx.Err(), context.Canceled)
 		out.TimedOut = !out.Cancelled && isTimeout(out.Cause)
 		out.ConnectionLost = out.ConnectionLost && !out.Cancelled && !out.TimedOut
 		out.OverConnectionLimit = out.ConnectionLost && !c.Reused
@@ -213,11 +212,9 @@
 		out, reusable := a.receive(c)
 		return out, reusable && bodyWritten(written)
 	}
-	watch := startAckWatch(c, a.unacked)
+	watch := startAckWatch(c, a.unacked, a.onSilent)
 	out, reusable := a.receive(c)
-	if watch.stop() && out.Cause != nil {
-		return Outcome{Verdict: Unknown, Unreachable: true, Cause: &UnreachableError{}}, false
-	}
+	watch.stop()
 	return out, reusable && bodyWritten(written)
 }
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -129,6 +129,37 @@
 	return !ok || f.listRequestedAt.After(returned.Add(f.listLag))
 }
 
+// candidates returns the usable targets of a service, without the silent ones unless
+// all are silent. f.mu must be held.
+func (f *fleet) candidates(s route.ServiceName, now time.Time) []*backend {
+	var all, heard []*backend
+	for _, b := range f.byService[s] {
+		if !f.usable(b, now) {
+			continue
+		}
+		all = append(all, b)
+		if !b.silent {
+			heard = append(heard, b)
+		}
+	}
+	if len(heard) > 0 {
+		return heard
+	}
+	return all
+}
+
+// markSilent records that a target's host doesn't acknowledge a request sent at since.
+// It returns false if the target answered another request after that.
+func (f *fleet) markSilent(b *backend, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b.heardAt.After(since) {
+		return false
+	}
+	b.silent = true
+	return true
+}
+
 // criteria are the requirements for the choice of a target.
 type criteria struct {
 	service route.ServiceName
@@ -155,8 +186,8 @@
 	defer f.mu.Unlock()
 	var best *selection
 	bestIsProbe := false
-	for _, b := range f.byService[crit.service] {
-		if !f.usable(b, now) || b.connLimitReached(now) || contains(crit.tried, b) || !b.pool.HasRoom() {
+	for _, b := range f.candidates(crit.service, now) {
+		if b.connLimitReached(now) || contains(crit.tried, b) || !b.pool.HasRoom() {
 			continue
 		}
 		c := b.candidate(now, b.target.DataCentre == f.dataCentre)
@@ -188,8 +219,8 @@
 func (f *fleet) hasAlternative(s route.ServiceName, tried []*backend, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, b := range f.byService[s] {
-		if f.usable(b, now) && !b.connLimitReached(now) && !contains(tried, b) {
+	for _, b := range f.candidates(s, now) {
+		if !b.connLimitReached(now) && !contains(tried, b) {
 			return true
 		}
 	}
@@ -201,8 +232,8 @@
 func (f *fleet) hasBusy(crit *criteria, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, b := range f.byService[crit.service] {
-		if f.usable(b, now) && !contains(crit.tried, b) {
+	for _, b := range f.candidates(crit.service, now) {
+		if !contains(crit.tried, b) {
 			return true
 		}
 	}
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -94,7 +94,7 @@
 	return &gathering{
 		server: s, req: req, median: median, late: late,
 		calls: make([]*call, n), handedOver: make([]*handOver, n), signatures: make([]string, n),
-		results: make(chan *result, n*(req.route.Attempts+maxRejections+1)),
+		results: make(chan *result, n*resultsPerCall(req.route)),
 		free:    time.NewTimer(time.Hour),
 	}
 }
@@ -226,6 +226,10 @@
 // it may be.
 func (g *gathering) handleResult(ctx context.Context, r *result) {
 	c := g.calls[r.shard]
+	if r.silent {
+		g.handleSilence(ctx, r.shard)
+		return
+	}
 	retry := c.countResult(r)
 	if r.outcome.Verdict != NotRun {
 		g.runs++
@@ -246,6 +250,14 @@
 	}
 }
 
+// handleSilence hedges a shard whose target's host is silent, if its part is still
+// missing.
+func (g *gathering) handleSilence(ctx context.Context, shard int) {
+	if c := g.calls[shard]; c != nil && g.signatures[shard] == "" {
+		c.hedgeSilent(ctx, shard, g.results, g.retryUrgency())
+	}
+}
+
 // addPart records that a shard's part was received.
 func (g *gathering) addPart(shard int, signature string) {
 	if g.signatures[shard] != "" {
--- a/forward/gatherattempts.go
+++ b/forward/gatherattempts.go
@@ -54,6 +54,9 @@
 			c.heldBack = false
 			c.start(ctx, i, g.results, g.retryUrgency(), false)
 		}
+		if c.silent > 0 && g.signatures[i] == "" {
+			c.hedge(ctx, i, g.results, g.retryUrgency())
+		}
 	}
 	if g.hedging {
 		g.hedgeAll(ctx, urgencyLow)
--- a/forward/health.go
+++ b/forward/health.go
@@ -40,7 +40,7 @@
 	cause     error
 }
 
-// healthChecker checks the health of suspect targets, so that a target that
+// healthChecker checks the health of suspect and silent targets, so that a target that
 // restarted gets no requests until its cold start has ended.
 type healthChecker struct {
 	fleet   *fleet
@@ -66,7 +66,7 @@
 	}
 }
 
-// dueChecks returns the suspect targets whose health check is due and marks them as
+// dueChecks returns the suspect and silent targets whose health check is due and marks them as
 // being checked. One whose address another target uses stays out of use until the list
 // names it anew, so that no check can help.
 func (f *fleet) dueChecks(now time.Time) []*backend {
@@ -74,7 +74,7 @@
 	defer f.mu.Unlock()
 	var out []*backend
 	for _, b := range f.byID {
-		if !b.suspect || b.replaced || b.checking || b.target.Draining || b.nextCheckAt.After(now) {
+		if !(b.suspect || b.silent) || b.replaced || b.checking || b.target.Draining || b.nextCheckAt.After(now) {
 			continue
 		}
 		b.checking = true
@@ -101,6 +101,7 @@
 		return
 	}
 	b.nextCheckAt = now.Add(recheckInterval)
+	b.silent = false
 	if h.id != "" && h.id != string(b.id) {
 		b.replaced = true
 		return
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -17,6 +17,7 @@
 const (
 	msgTargetChosen = "target chosen"
 	msgAttemptEnded = "attempt ended"
+	msgTargetSilent = "target silent"
 	msgExtraDenied  = "extra arrival denied"
 	msgNoTarget     = "no usable target"
 	msgAnswered     = "request answered"
@@ -148,6 +149,8 @@
 		switch d.msg {
 		case msgNoTarget:
 			attrs = append(attrs, "waiting", d.waiting)
+		case msgTargetSilent:
+			attrs = append(attrs, "target", d.target)
 		case msgHandedOver:
 			attrs = append(attrs, "helper", d.target, "shards", d.shards, "repeat", d.repeat)
 		case msgPartsReceived:
--- a/forward/single.go
+++ b/forward/single.go
@@ -20,7 +20,7 @@
 		s.budget.recordRequest(service, req.received)
 	}
 	c := &call{server: s, req: req, service: service, median: median, attempts: req.route.Attempts}
-	results := make(chan *result, req.route.Attempts+maxRejections+1)
+	results := make(chan *result, resultsPerCall(req.route))
 	if !c.start(ctx, 0, results, urgencyHigh, false) {
 		s.refuse(w, r, req, &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonNoTarget,
@@ -42,6 +42,10 @@
 	for c.inFlight > 0 {
 		select {
 		case got := <-results:
+			if got.silent {
+				c.hedgeSilent(ctx, 0, results, urgencyMedium)
+				continue
+			}
 			retry := c.countResult(got)
 			if got.outcome.Success() || (got.outcome.Verdict == Answered && got.outcome.Status < http.StatusInternalServerError) {
 				return got
