Keep a share of the budget while gateways may only be cut off

Cause: found by reading after the users' report of repeats that piled up. A gateway's share of the slack is one part in as many gateways as control sees. When control lost sight of some, the others' shares grew at once, though those cut off may still take requests with their old share.

Ruled out: waiting for a gateway's lease, which says what it may start, not whether it still sends what clients ask of it.

Change: the share of extra arrivals is computed with the most gateways seen within the last minute. Shares of connections follow the present number as before: a target closes what is too many.

Failed before: TestBudgetShareOfAnOldView ("the routers claim 1.50 times the budget"); passes now, and demands the whole share a minute later.

--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/peridotmux/peridotmux/board/records"
+	"github.com/peridotmux/peridotmux/discovery"
 )
 
 // checkExtra fails the test if extra arrivals at a service exceed the limits in a window.
@@ -96,3 +99,69 @@
 	}
 	checkExtra(t, limits, requests, extra)
 }
+
+// Guards against shares of the budget that grow as soon as control loses sight of some
+// routers: those that are only cut off go on with their old share.
+func TestBudgetShareOfAnOldView(t *testing.T) {
+	const routers, cutOff = 12, 6
+	now := time.Now()
+	withRouters := func(f *fleet, n int, at time.Time) {
+		v := records.EmptyView()
+		for i := range n {
+			v.Routers[gatewayName(i)] = gatewayRouter(i)
+		}
+		f.update(&discovery.List{}, v, testTable(), at)
+	}
+	var fleets []*fleet
+	for i := range routers {
+		f := newFleet(gatewayName(i), "dc-a", 0, nil)
+		withRouters(f, routers, now)
+		if i >= cutOff {
+			withRouters(f, routers-cutOff, now)
+		}
+		fleets = append(fleets, f)
+	}
+	sum := func(at time.Time) float64 {
+		total := 0.0
+		for _, f := range fleets {
+			total += f.budgetShare("one", at)
+		}
+		return total
+	}
+	if got := sum(now.Add(recentTime - time.Second)); got > 1+1e-9 {
+		t.Errorf("the routers claim %.2f times the budget", got)
+	}
+	// Later, those in sight may use what the others had.
+	if got := fleets[cutOff].budgetShare("one", now.Add(recentTime)); got < 1.0/(routers-cutOff)-1e-9 {
+		t.Errorf("a router's share is %.3f long after the others left", got)
+	}
+}
+
+func TestRecentMost(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var r recentMost
+	for _, c := range []struct {
+		after time.Duration
+		// count is added unless it is 0.
+		count, want int
+	}{
+		{0, 0, 1},
+		{0, 12, 12},
+		{time.Second, 6, 12},
+		{10 * time.Second, 8, 12},
+		{time.Minute, 0, 12},
+		{61 * time.Second, 0, 8},
+		{62 * time.Second, 4, 8},
+		{63 * time.Second, 9, 9},
+		{64 * time.Second, 3, 9},
+		{124 * time.Second, 0, 3},
+	} {
+		now := start.Add(c.after)
+		if c.count > 0 {
+			r.add(c.count, now)
+		}
+		if got := r.at(now); got != c.want {
+			t.Errorf("after %v: %d, want %d", c.after, got, c.want)
+		}
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -168,7 +168,7 @@
 		return false
 	}
 	c.waiting = false
-	if !first && !c.server.budget.tryAcquire(c.service, c.server.fleet.budgetShare(c.service), level, now) {
+	if !first && !c.server.budget.tryAcquire(c.service, c.server.fleet.budgetShare(c.service, now), level, now) {
 		c.server.fleet.release(sel)
 		c.budgetDenied = true
 		c.req.trace.add(decision{msg: msgExtraDenied, at: now, service: c.service})
--- a/forward/cellplan.go
+++ b/forward/cellplan.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/peridotmux/peridotmux/affinity"
 	"github.com/peridotmux/peridotmux/cells"
@@ -209,8 +210,8 @@
 
 // budgetShare returns the fraction of the extra arrivals at a service that this
 // router may cause beyond its own requests' ratio.
-func (f *fleet) budgetShare(s route.ServiceName) float64 {
+func (f *fleet) budgetShare(s route.ServiceName, now time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.shareOf(s)
+	return f.shareOf(s) * float64(f.routers) / float64(f.mostRouters.at(now))
 }
--- a/forward/cellplan_test.go
+++ b/forward/cellplan_test.go
@@ -74,7 +74,7 @@
 		for _, s := range shards {
 			sum := 0.0
 			for _, f := range fleets {
-				sum += f.budgetShare(s)
+				sum += f.budgetShare(s, time.Now())
 			}
 			// A gateway more or less is one part of all.
 			if most := 1 + 1.0/float64(gateways); sum > most+1e-9 {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -40,8 +40,10 @@
 	quiet map[topology.DataCentre]board.Quiet
 	// listRequestedAt is when the list in use was requested from the platform.
 	listRequestedAt time.Time
-	// routers is the number of routers that share the targets, at least 1.
-	routers int
+	// routers is the number of routers that share the targets, at least 1, and
+	// mostRouters the most of them lately.
+	routers     int
+	mostRouters recentMost
 	// gateways are the routers in control's records, with this one. workers are those
 	// of them that may send sub-requests for others, and addrs their addresses.
 	gateways, workers []affinity.Gateway
@@ -82,6 +84,7 @@
 	newTable := f.table != table
 	f.quiet, f.listRequestedAt, f.table = v.QuietDCs, l.RequestedAt, table
 	f.routers = max(len(v.Routers), 1)
+	f.mostRouters.add(f.routers, now)
 	f.applyRouters(v)
 	f.assignmentStale = true
 	f.applyList(l)
