Answer all requests before the end of a planned stop

Reported by other operators: in a planned stop, requests that came late in the grace time were taken and passed on, and cut with no answer at its end.

Cause: the same could happen here. A shutdown waited for the requests in progress and then ended the process, whatever they were doing; a request whose body came late was passed on with its whole time limit.

Ruled out: closing the listener earlier, as the balancer goes on to send for two checks; ending requests when the stop begins, as a target's silence is no reason to give up sooner.

Change: 0.8 s before the end of the grace time requests in progress are answered (502, 504, or with the parts that are there). Deadlines, also those told to targets, don't go past that. A request that has less left than its objective is refused with 503 as not run.

Failed before: TestStopAnswersWhatItCannotFinish ("request early got no answer: unexpected EOF", the same for the late one, and both ran); passes now.

--- a/forward/gather.go
+++ b/forward/gather.go
@@ -175,6 +175,8 @@
 			objectivePassed = true
 		case <-deadline.C:
 			return reasonDeadline
+		case <-g.server.drain.ended:
+			return reasonDraining
 		case <-ctx.Done():
 			return reasonCallerLeft
 		}
@@ -323,7 +325,7 @@
 		f.status = http.StatusServiceUnavailable
 		f.reason = reasonNoTarget
 		f.retryAfter = g.server.fleet.timeUntilUsable(g.missingServices(), len(g.missingServices())-len(g.calls)+g.req.route.Gather.MinParts(), time.Now())
-	case why == reasonDeadline:
+	case why == reasonDeadline || why == reasonDraining:
 		f.status = http.StatusGatewayTimeout
 	}
 	g.server.refuse(w, r, g.req, f)
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -75,7 +75,7 @@
 	c := startCluster(t, 8)
 	c.denyExtraArrivals()
 	leaving := c.servers[c.indexOf(c.askedByEntry(t).vm)]
-	leaving.DisableKeepAlives()
+	leaving.Drain(time.Now().Add(time.Minute))
 	for j := range 4 {
 		id := fmt.Sprint("leaving-", j)
 		c.checkComplete(t, c.servers[0].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -23,6 +23,7 @@
 	reasonLost       reason = "answer lost"
 	reasonCoverage   reason = "too few parts"
 	reasonCallerLeft reason = "caller left"
+	reasonDraining   reason = "shutting down"
 )
 
 const (
--- a/forward/server.go
+++ b/forward/server.go
@@ -81,6 +81,7 @@
 	active    atomic.Int64
 	// noKeepAlives makes responses carry "Connection: close".
 	noKeepAlives atomic.Bool
+	drain        *drain
 }
 
 // New returns a server without a route table.
@@ -91,7 +92,7 @@
 	now := time.Now()
 	s := &Server{
 		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
-		budget: newBudget(c.Budget, now), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(),
+		budget: newBudget(c.Budget, now), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(), drain: newDrain(),
 		helpers: newHelpers(c.Log), unacked: (*connpool.Conn).Unacked,
 	}
 	s.resume = newResumeGate(c.Confirmed, now)
@@ -108,9 +109,6 @@
 // Table returns the route table in force, nil before the first.
 func (s *Server) Table() *route.Table { return s.table.Load() }
 
-// DisableKeepAlives makes every response from now on carry "Connection: close".
-func (s *Server) DisableKeepAlives() { s.noKeepAlives.Store(true) }
-
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -215,6 +213,10 @@
 		s.refuse(w, r, req, refusal)
 		return
 	}
+	if !s.drain.limit(req, time.Now()) {
+		s.refuseDraining(w, r, req)
+		return
+	}
 	if req.route.Gather != nil {
 		s.gather(w, r, req)
 		return
--- a/forward/single.go
+++ b/forward/single.go
@@ -58,6 +58,8 @@
 			c.hedge(ctx, 0, results, urgencyMedium)
 		case <-deadline.C:
 			return preferResult(last, &result{outcome: Outcome{Verdict: Unknown, Cause: context.DeadlineExceeded}})
+		case <-c.server.drain.ended:
+			return preferResult(last, &result{outcome: Outcome{Verdict: Unknown, Cause: &DrainedError{}}})
 		case <-ctx.Done():
 			return preferResult(last, &result{outcome: Outcome{Verdict: Unknown, Cause: ctx.Err()}})
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	// shutdownMargin is the part of the grace time reserved for the end of the
 	// process.
 	shutdownMargin = 500 * time.Millisecond
+	// answerMargin is the part of the grace time before that in which the last answers
+	// are written.
+	answerMargin = 300 * time.Millisecond
 	// exitWait bounds the wait for background work at the end of the process.
 	exitWait = 150 * time.Millisecond
 	// headerTimeout bounds the time that a caller takes to send a request's
@@ -230,8 +233,8 @@
 func (g *Gateway) shutdown(front *http.Server) error {
 	began := time.Now()
 	g.leaving.Store(true)
-	g.server.DisableKeepAlives()
 	lag := min(balancerLag, g.cfg.Settings.Grace/2)
+	g.server.Drain(began.Add(g.cfg.Settings.Grace - shutdownMargin - answerMargin))
 	g.log.Info("shutdown begins", "balancer_lag", lag, "active", g.server.Active())
 	time.Sleep(lag)
 	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Settings.Grace-lag-shutdownMargin)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -40,14 +41,14 @@
 	set[id] = true
 }
 
-// startServer returns a server that forwards to one target, which takes 60 ms for a
+// startServer returns a server that forwards to one target, which takes some time for a
 // request.
-func startServer(t *testing.T, l *ledger) *forward.Server {
+func startServer(t *testing.T, l *ledger, serviceTime time.Duration) *forward.Server {
 	t.Helper()
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("Req-Id")
 		l.add(l.ran, id)
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(serviceTime)
 		w.Header().Set("Req-Id", id)
 		w.Header().Set("Sig", "s")
 		_, _ = io.WriteString(w, id)
@@ -96,7 +97,7 @@
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	l := &ledger{ran: make(map[string]bool), answered: make(map[string]bool)}
 	g := &Gateway{
-		cfg: Config{Settings: &settings.Gateway{Grace: 2 * time.Second}}, log: slog.New(slog.DiscardHandler), server: startServer(t, l),
+		cfg: Config{Settings: &settings.Gateway{Grace: 2 * time.Second}}, log: slog.New(slog.DiscardHandler), server: startServer(t, l, 60*time.Millisecond),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -161,6 +162,59 @@
 	}
 }
 
+// Guards against requests that are cut without an answer at the end of the grace time:
+// those still in progress must get one, and those that come too late to be answered must
+// be refused without running, also if they started to arrive before the stop.
+func TestStopAnswersWhatItCannotFinish(t *testing.T) {
+	l := &ledger{ran: make(map[string]bool), answered: make(map[string]bool)}
+	g := &Gateway{
+		cfg: Config{Settings: &settings.Gateway{Grace: 2 * time.Second}}, log: slog.New(slog.DiscardHandler), server: startServer(t, l, 4*time.Second),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := &http.Server{Handler: g.server, ReadHeaderTimeout: 5 * time.Second, ConnContext: forward.ConnContext, ConnState: forward.ConnState}
+	go func() { _ = front.Serve(g.server.Listener(listener)) }()
+	var callers sync.WaitGroup
+	status := func(id string, bodyAfter time.Duration, want int) {
+		callers.Go(func() {
+			c, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nLeft-Ms: 2000\r\nContent-Length: 5\r\n\r\nor", id)
+			time.Sleep(bodyAfter)
+			_, _ = io.WriteString(c, "der")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("request %s got no answer: %v", id, err)
+				return
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != want {
+				t.Errorf("request %s got %d, want %d", id, resp.StatusCode, want)
+			}
+		})
+	}
+	status("early", 0, http.StatusBadGateway)
+	status("late", 1200*time.Millisecond, http.StatusServiceUnavailable)
+	time.Sleep(200 * time.Millisecond)
+	if err := g.shutdown(front); err != nil {
+		t.Fatal(err)
+	}
+	// The process ends now.
+	_ = front.Close()
+	callers.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ran["early"] || l.ran["late"] {
+		t.Errorf("ran: %v", l.ran)
+	}
+}
+
 // Background work that doesn't end must not delay the end of the process.
 func TestWaitAtMost(t *testing.T) {
 	var wg sync.WaitGroup
