Take only answers that echo the request's id

Cause: health checks share connections with requests and carry no id. A second copy of the answer to a rejected health check, marked as not run, came where the next request's answer was due, and an answer without an id counted as its own.

Ruled out: an id on health checks, since targets would run requests whose id no caller sent; connections of their own for health checks, which cost a target a slot for each and don't help against other answers without an id.

Change: an answer counts only with the request's own id.

Failed before: TestLateCopyOfHealthAnswerIsNoAnswer ("status 503 ... ran 2 times"); passes now.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -193,3 +194,23 @@
 		f.fleet.recordHealth(f.fleet.byID["s"], &health{reached: true, healthy: true}, time.Now())
 	}
 }
+
+// Guards against a late copy of the answer to a rejected health check that is taken for a
+// request's own: the request then ran twice, or was refused as not run though it ran.
+func TestLateCopyOfHealthAnswerIsNoAnswer(t *testing.T) {
+	a, b := newFakeTarget(t, "a", "one"), newFakeTarget(t, "b", "one")
+	for _, x := range []*fakeTarget{a, b} {
+		x.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nTarget: "+x.id+"\r\nContent-Length: 0\r\n\r\n")
+			x.ok(c, r, "own")
+		}
+	}
+	f := newTestServer(t, testTable(), a.entry(), b.entry())
+	for i, path := range []string{"/once/x", "/one/x"} {
+		before := len(a.requests()) + len(b.requests())
+		got := f.send(http.MethodPost, path, "order", fmt.Sprint("id-", i), 2000)
+		if runs := len(a.requests()) + len(b.requests()) - before; got.status != http.StatusOK || got.body != "own" || runs != 1 {
+			t.Errorf("%s: status %d, body %q, ran %d times", path, got.status, got.body, runs)
+		}
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -262,7 +262,7 @@
 		if err != nil {
 			return Outcome{Verdict: Unknown, ConnectionLost: connectionEnded(err), Cause: err}, false
 		}
-		if id := resp.Header.Get(a.headers.RequestID); id != "" && id != a.request.id {
+		if resp.Header.Get(a.headers.RequestID) != a.request.id {
 			clean = false
 			continue
 		}
