--- a/forward/handover.go
+++ b/forward/handover.go
@@ -25,7 +25,8 @@
 // handOver is the shards of one cell that this router hands to a helper. Its fields
 // belong to the goroutine that handles the request.
 type handOver struct {
-	// shards are indexes in the gathering's shards.
+	// shards are indexes in the gathering's shards: those that the current helper was
+	// asked for.
 	shards []int
 	// untried are the helpers that weren't asked yet.
 	untried []helper
@@ -207,9 +208,14 @@
 		g.replace(ctx, h, true, &HelperRefusedError{Reason: r.message.GetReason()})
 	case pb.PartsStatus_PARTS_STATUS_MORE:
 		h.accepted, h.reported = true, true
-		g.takeParts(h, r.message)
+		if !g.takeParts(h, r.message) {
+			g.replace(ctx, h, false, &HelperRefusedError{Reason: reasonBadParts})
+		}
 	case pb.PartsStatus_PARTS_STATUS_DONE:
-		g.takeParts(h, r.message)
+		if !g.takeParts(h, r.message) {
+			g.replace(ctx, h, false, &HelperRefusedError{Reason: reasonBadParts})
+			return
+		}
 		h.open = false
 		g.req.trace.add(decision{
 			msg: msgPartsReceived, at: time.Now(), target: string(h.asked.vm), shards: len(h.shards), took: time.Since(h.sentAt),
@@ -233,24 +239,58 @@
 // Error describes the failure.
 func (*HelperSilentError) Error() string { return "no answer in time" }
 
-// takeParts keeps the parts in a message of a helper.
-func (g *gathering) takeParts(h *handOver, m *pb.PartsReply) {
+// reasonBadParts is why a helper's message isn't taken.
+const reasonBadParts = "parts that it wasn't asked for, or sent before"
+
+// takeParts keeps the parts in a message of a helper. It returns false and keeps none if
+// one of them is there already or wasn't asked for: a message holds the greatest records
+// of all its parts together, so that one can't be left out.
+func (g *gathering) takeParts(h *handOver, m *pb.PartsReply) bool {
+	if !g.acceptable(h, m) {
+		return false
+	}
 	h.runs = int(m.GetRuns())
-	signatures := m.GetSignatures()
 	for i, index := range m.GetShards() {
-		if int(index) >= len(h.shards) || i >= len(signatures) || !isListable(signatures[i]) {
-			continue
-		}
-		g.addPart(h.shards[index], signatures[i])
+		g.addPart(h.shards[index], m.GetSignatures()[i])
 	}
 	if len(m.GetShards()) > 0 {
 		g.bodies = append(g.bodies, m.GetRecords())
 	}
+	return true
 }
 
-// replace hands shards elsewhere after the current helper failed, or gives them up.
+// acceptable reports whether all parts in a message of a helper were asked for and are
+// still missing.
+func (g *gathering) acceptable(h *handOver, m *pb.PartsReply) bool {
+	seen := make(map[uint32]bool, len(m.GetShards()))
+	for i, index := range m.GetShards() {
+		if int(index) >= len(h.shards) || i >= len(m.GetSignatures()) || !isListable(m.GetSignatures()[i]) {
+			return false
+		}
+		if seen[index] || g.signatures[h.shards[index]] != "" {
+			return false
+		}
+		seen[index] = true
+	}
+	return true
+}
+
+// missingOf returns those of some shards whose part is missing.
+func (g *gathering) missingOf(shards []int) []int {
+	var out []int
+	for _, shard := range shards {
+		if g.signatures[shard] == "" {
+			out = append(out, shard)
+		}
+	}
+	return out
+}
+
+// replace hands the shards whose part is missing elsewhere after the current helper
+// failed, or gives them up.
 func (g *gathering) replace(ctx context.Context, h *handOver, notSent bool, cause error) {
 	h.stop()
+	h.shards = g.missingOf(h.shards)
 	waited := time.Since(h.sentAt)
 	g.server.helpers.recordFailure(h.asked, h.sentAt, cause, time.Now())
 	step := h.next(notSent)
@@ -261,6 +301,9 @@
 	if !notSent {
 		g.runs++
 	}
+	if len(h.shards) == 0 {
+		step = stepGiveUp
+	}
 	switch step {
 	case stepNext:
 		g.askNext(ctx, h)
