Send a request again if its kept connection carried something else

Cause (TestSurplusBytesReachNoOtherRequest, in KNOWN-RED.txt): surplus bytes of an earlier answer that arrive after the check for unread bytes and before the next answer make that exchange fail as malformed, or as a head too large. The request then failed with 502 if the service had no other target.

Ruled out: a longer check before the reuse, as bytes may come at any later time; answers of others reaching a caller, none was seen.

Change: on a reused connection such an outcome is "garbled". An idempotent request that has no other target may go to the same one again over another connection, within its attempts and the budget. A request that must not repeat ends with 502 as before.

--- a/forward/call.go
+++ b/forward/call.go
@@ -65,6 +65,9 @@
 	objective  time.Time
 	waiting    bool
 	rejectedBy []*backend
+	// garbledBy are the targets whose connection carried something else than the
+	// response. The request may go there again over another connection.
+	garbledBy []*backend
 	// heldBack means that a retry waits until more attempts are allowed.
 	heldBack bool
 }
@@ -159,6 +162,10 @@
 		objective: c.objective,
 	}
 	sel := c.server.fleet.choose(crit, now)
+	if sel == nil && len(c.garbledBy) > 0 {
+		crit.tried = c.allowAgain()
+		sel = c.server.fleet.choose(crit, now)
+	}
 	if sel == nil {
 		waited := c.waiting
 		c.waiting = c.mayWait(crit, now)
@@ -195,6 +202,14 @@
 	return true
 }
 
+// allowAgain takes the targets whose connection was garbled off those tried, and returns
+// the others.
+func (c *call) allowAgain() []*backend {
+	c.tried = slices.DeleteFunc(c.tried, func(b *backend) bool { return slices.Contains(c.garbledBy, b) })
+	c.garbledBy = nil
+	return c.tried
+}
+
 // reportSilence tells the fleet and the call that the host of an attempt's target
 // doesn't acknowledge it. since is when the attempt started.
 func (c *call) reportSilence(shard int, b *backend, since time.Time, results chan<- *result) {
@@ -259,6 +274,9 @@
 	if r.outcome.PoolFull {
 		return true
 	}
+	if r.outcome.Garbled {
+		c.garbledBy = append(c.garbledBy, r.backend)
+	}
 	if r.outcome.Verdict == NotRun {
 		c.rejections++
 		if !r.sendState.neverSent() {
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -214,3 +214,26 @@
 		}
 	}
 }
+
+// Guards against an idempotent request that fails since the kept connection to the only
+// target carried surplus bytes of an earlier answer: it must be sent again over another
+// connection. One that must not repeat must not.
+func TestGarbledConnectionIsNoReasonToFail(t *testing.T) {
+	for path, want := range map[string]struct{ status, runs int }{"/one/x": {http.StatusOK, 2}, "/once/x": {http.StatusBadGateway, 1}} {
+		for _, surplus := range []string{"surplus\r\n\r\n", strings.Repeat("x", 2*maxResponseHeadBytes)} {
+			x := newFakeTarget(t, "x", "one")
+			x.answer = func(c net.Conn, r *http.Request, _ []byte, n int) {
+				if n == 2 {
+					_, _ = io.WriteString(c, surplus)
+				}
+				x.ok(c, r, "own")
+			}
+			f := newTestServer(t, testTable(), x.entry())
+			f.send(http.MethodPost, path, "order", "id-1", 2000)
+			got := f.send(http.MethodPost, path, "order", "id-2", 2000)
+			if runs := len(x.requests()) - 1; got.status != want.status || runs != want.runs {
+				t.Errorf("%s after %.10q: status %d, ran %d times", path, surplus, got.status, runs)
+			}
+		}
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -89,6 +89,9 @@
 	// PoolFull means that all connections that this router may have to the target are
 	// in use.
 	PoolFull bool
+	// Garbled means that the bytes where the response was due on a kept connection were
+	// no response to this request, as after surplus bytes of an earlier one.
+	Garbled bool
 	// WrongTarget means that another target answered at the address.
 	WrongTarget bool
 	// Cause is the failure, nil if there is a valid response.
@@ -260,7 +263,7 @@
 			HeadBytes: maxResponseHeadBytes, BodyBytes: a.bodyLimit(), Memory: a.memory,
 		})
 		if err != nil {
-			return Outcome{Verdict: Unknown, ConnectionLost: connectionEnded(err), Cause: err}, false
+			return Outcome{Verdict: Unknown, ConnectionLost: connectionEnded(err), Garbled: c.Reused && isGarbage(err), Cause: err}, false
 		}
 		if resp.Header.Get(a.headers.RequestID) != a.request.id {
 			clean = false
@@ -270,7 +273,17 @@
 		applyKeepAlive(c, resp)
 		return out, clean && !resp.Close && c.Reader.Buffered() == 0
 	}
-	return Outcome{Verdict: Unknown, Cause: &ProtocolError{Reason: "it belongs to other requests"}}, false
+	return Outcome{Verdict: Unknown, Garbled: c.Reused, Cause: &ProtocolError{Reason: "it belongs to other requests"}}, false
+}
+
+// isGarbage reports whether an error of response.Read means that the bytes are no head of
+// a response.
+func isGarbage(err error) bool {
+	var (
+		malformed *response.MalformedError
+		tooLarge  *response.TooLargeError
+	)
+	return errors.As(err, &malformed) || errors.As(err, &tooLarge) && tooLarge.Part == response.Head
 }
 
 // bodyLimit returns the maximum size in bytes of a response's body. A part of a
