Let the soak check budgets, attempts and gateways' configurations

Cause: the soak counted no arrivals against the budget of extra arrivals and no runs against attempts, and read the configuration back from control only. It was silent about what the users saw. Its processes had the processor to themselves.

Change: targets record each arrival. At the end, any window with more arrivals beyond the first of each request than the settings allow, and any request that ran at more targets than its route allows, is a violation; each gateway must obey the newest acknowledged configuration. Beside the other disruptions, with random numbers of their own, processes are stopped and continued in short turns, a configuration with up to 1,500 routes more is changed six times in a row, and entries of another writer stand in the target list. A gather's end by its deadline is told by its context, which replaces a second timer.

Not done: replaced members at new addresses, and hosts that acknowledge late, which loopback can't play without a kernel's help.

--- a/forward/gather.go
+++ b/forward/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -143,8 +144,6 @@
 func (g *gathering) await(ctx context.Context) reason {
 	objectiveTimer := time.NewTimer(time.Until(g.objective))
 	defer objectiveTimer.Stop()
-	deadline := time.NewTimer(time.Until(g.req.deadline))
-	defer deadline.Stop()
 	hedge := time.NewTimer(hedgeDelay(g.req.route, g.late))
 	defer hedge.Stop()
 	helperDue := time.NewTimer(acceptTime(g.req.route))
@@ -173,17 +172,23 @@
 			g.retryWaiting(ctx)
 		case <-objectiveTimer.C:
 			objectivePassed = true
-		case <-deadline.C:
-			return reasonDeadline
 		case <-g.server.drain.ended:
 			return reasonDraining
 		case <-ctx.Done():
-			return reasonCallerLeft
+			return endReason(ctx)
 		}
 	}
 	return reasonCoverage
 }
 
+// endReason returns why the context of a request, which ends at its deadline, ended.
+func endReason(ctx context.Context) reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return reasonDeadline
+	}
+	return reasonCallerLeft
+}
+
 // possibleParts returns the number of parts that are received or may still be.
 func (g *gathering) possibleParts() int {
 	n := 0
--- a/forward/status.go
+++ b/forward/status.go
@@ -64,6 +64,8 @@
 		return "quiet"
 	case b.suspect:
 		return "doubted"
+	case b.silent:
+		return "silent"
 	case b.coldUntil().After(now):
 		return "cold"
 	case !f.usable(b, now):
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -77,6 +77,7 @@
 	r.Header.Set(headers.RequestID, id)
 	r.Header.Set(headers.TimeLeftMS, fmt.Sprint(requestTimeLimit.Milliseconds()))
 	l.counts.sent.Add(1)
+	l.cluster.ledger.traffic.addSent(l.cluster.servicesOf(path))
 	resp, err := client.Do(r)
 	if err != nil {
 		l.counts.failed.Add(1)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -111,6 +111,18 @@
 	return fmt.Sprintf("shard%d", i)
 }
 
+// servicesOf returns the services of the route with a path.
+func (c *cluster) servicesOf(path string) []string {
+	if path != "/all/x" {
+		return []string{c.serviceName(c.cfg.Shards)}
+	}
+	var out []string
+	for i := range c.cfg.Shards {
+		out = append(out, c.serviceName(i))
+	}
+	return out
+}
+
 func (c *cluster) startTargets() error {
 	for i := range c.cfg.Shards + 1 {
 		for j := range replicas {
@@ -175,9 +187,9 @@
 link_mbps = 1000
 
 [extra arrivals]
-ratio = 0.2
-slack = 56
-window = 10s
+ratio = %v
+slack = %v
+window = %v
 `
 
 func (c *cluster) listSection() string {
@@ -222,7 +234,7 @@
 	for i := range c.cfg.Gateways {
 		ip := c.gatewayIP(i)
 		text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
-			c.seeds(), rpcPort, gracePeriod) + c.listSection()
+			c.seeds(), rpcPort, gracePeriod, budgetRatio, budgetSlack, budgetWindow) + c.listSection()
 		if err := os.WriteFile(c.path("gateway", i, ".ini"), []byte(text), 0o600); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/soak/inputs.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peridotmux/peridotmux/internal/wait"
+	"github.com/peridotmux/peridotmux/platform/fake"
+)
+
+const (
+	// stoppedTurn and runningTurn are how long a starved process stands still and runs
+	// in turns, as if others used its processor.
+	stoppedTurn = 40 * time.Millisecond
+	runningTurn = 10 * time.Millisecond
+	// maxAddedRoutes is the number of routes that a large configuration adds, and
+	// changesInARow how often it is changed then.
+	maxAddedRoutes = 1500
+	changesInARow  = 6
+)
+
+// disruptInputs starves processes of processor time, sends large configurations in a row
+// and puts entries of another writer into the target list, beside the other disruptions,
+// until cfg.Duration has passed or ctx ends. Its random numbers are its own, so that the
+// other disruptions of a seed don't depend on it.
+func (r *runner) disruptInputs(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.cluster.cfg.Duration)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(r.cluster.cfg.Seed, 11)) //nolint:gosec // Not a secret.
+	for ctx.Err() == nil {
+		d := time.Duration(500+rng.IntN(2500)) * time.Millisecond
+		switch rng.IntN(4) {
+		case 0:
+			r.starve(ctx, r.cluster.gateways[rng.IntN(len(r.cluster.gateways))], d)
+		case 1:
+			r.starve(ctx, r.cluster.members[rng.IntN(len(r.cluster.members))], d)
+		case 2:
+			r.growConfig(ctx, rng.IntN(maxAddedRoutes))
+		default:
+			r.oddEntries(ctx, rng, d)
+		}
+		wait.For(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
+	}
+	r.cluster.list.setOdd(nil)
+}
+
+// starve lets a process run only a fifth of the time.
+func (r *runner) starve(ctx context.Context, p *process, d time.Duration) {
+	r.printf("starve %s for %v", p.name, d)
+	for until := time.Now().Add(d); time.Now().Before(until) && ctx.Err() == nil; {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(stoppedTurn)
+		p.signal(syscall.SIGCONT)
+		time.Sleep(runningTurn)
+	}
+}
+
+// growConfig sends configurations with more routes in a row.
+func (r *runner) growConfig(ctx context.Context, routes int) {
+	r.printf("change a configuration with %d routes more, %d times", routes, changesInARow)
+	r.operator.setAddedRoutes(routes)
+	for range changesInARow {
+		callCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+		r.operator.changeConfig(callCtx)
+		cancel()
+	}
+}
+
+// oddEntries adds entries to the target list that name no target, and of which some claim
+// a target that others name.
+func (r *runner) oddEntries(ctx context.Context, rng *rand.Rand, d time.Duration) {
+	t := r.cluster.targets[rng.IntN(len(r.cluster.targets))]
+	odd := []string{
+		fmt.Sprintf(`{"id":%q,"service":"shard0","address":%q,"zone":"dc-a","slots":4,"state":"ready","coldLeftMs":0}`, t.id, t.proxy.listener.Addr()),
+		fmt.Sprintf(`{"id":%q,"service":"shard0","address":"10.0.0.1:70000","zone":"dc-a","version":"v1","slots":4,"state":"ready","coldLeftMs":0}`, t.id),
+		strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		`{"id":7}`, `{bad}`,
+	}
+	r.printf("odd list entries, some of %s, for %v", t.id, d)
+	r.cluster.list.setOdd(odd[rng.IntN(len(odd)):])
+	wait.For(ctx, d)
+	r.cluster.list.setOdd(nil)
+}
+
+// checkTraffic reports what reached the targets beyond the limits.
+func (r *runner) checkTraffic() {
+	for _, text := range r.cluster.ledger.traffic.violations() {
+		r.cluster.ledger.addViolation("%s", text)
+	}
+}
+
+// checkGatewayConfig checks that a gateway obeys the newest acknowledged configuration, or
+// a newer one, within applyBound.
+func (r *runner) checkGatewayConfig(ctx context.Context, i int) {
+	r.operator.mu.Lock()
+	acked := r.operator.acked
+	if r.cluster.cfg.Plant == "lost" {
+		acked += 100
+	}
+	r.operator.mu.Unlock()
+	version := uint64(0)
+	for until := time.Now().Add(applyBound); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if version = r.gatewayVersion(ctx, i); version >= acked {
+			return
+		}
+	}
+	r.cluster.ledger.addViolation("gateway %d obeys version %d, %d was acknowledged", i, version, acked)
+}
+
+// gatewayVersion returns the version of the routes in force at a gateway, 0 if it is
+// unknown.
+func (r *runner) gatewayVersion(ctx context.Context, i int) uint64 {
+	url := fmt.Sprintf("http://%s:%d/status", r.cluster.gatewayIP(i), pagesPort)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	page, _ := io.ReadAll(resp.Body) // A part of it has no version.
+	_, rest, _ := strings.Cut(string(page), "routes: version ")
+	var version uint64
+	_, _ = fmt.Sscan(rest, &version) // No number leaves 0.
+	return version
+}
+
+// addedRoutes returns routes that no caller uses.
+func addedRoutes(n int) []fake.Route {
+	out := make([]fake.Route, 0, n)
+	for i := range n {
+		out = append(out, fake.Route{
+			Host: host, Prefix: fmt.Sprintf("/added-%d/", i), Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300,
+		})
+	}
+	return out
+}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -26,8 +26,10 @@
 	ackedAt time.Time
 	// sent holds the route document of each version sent.
 	sent map[uint64][]byte
-	// version is the newest version sent.
+	// version is the newest version sent, and added the number of routes that no caller
+	// uses.
 	version uint64
+	added   int
 }
 
 func newOperator(c *cluster) *operator {
@@ -37,16 +39,13 @@
 // routeDocument returns the configuration of a version: a route to one service
 // for idempotent requests, one for non-idempotent requests, and one that fans
 // out to all shards.
-func (c *cluster) routeDocument(version uint64) []byte {
-	var shardServices []string
-	for i := range c.cfg.Shards {
-		shardServices = append(shardServices, c.serviceName(i))
-	}
-	return fake.RouteDocument(version, []fake.Route{
+func (c *cluster) routeDocument(version uint64, added int) []byte {
+	shardServices := c.servicesOf("/all/x")
+	return fake.RouteDocument(version, append([]fake.Route{
 		{Host: host, Prefix: "/one/", Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300},
 		{Host: host, Prefix: "/once/", Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300},
 		{Host: host, Prefix: "/all/", Idempotent: true, Services: shardServices, MaxMissing: 1, TimeLimitMS: 2000, ObjectiveMS: 300, TopK: 3},
-	})
+	}, addedRoutes(added)...))
 }
 
 // changeConfig sends a new version to the members in turn until one acknowledges
@@ -55,7 +54,7 @@
 	o.mu.Lock()
 	o.version += 1 + o.version%3
 	version := o.version
-	body := o.cluster.routeDocument(version)
+	body := o.cluster.routeDocument(version, o.added)
 	o.sent[version] = body
 	o.mu.Unlock()
 	for i := 0; ctx.Err() == nil; i++ {
@@ -73,6 +72,13 @@
 	return false
 }
 
+// setAddedRoutes sets how many routes that no caller uses further configurations have.
+func (o *operator) setAddedRoutes(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.added = n
+}
+
 func (o *operator) ack(version uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,7 @@
 	wg.Go(func() { r.load.run(work) })
 	wg.Go(func() { r.operator.pollConfig(work) })
 	wg.Go(func() { r.disruptResponses(work) })
+	wg.Go(func() { r.disruptInputs(work) })
 	for until := time.Now().Add(cfg.Duration); time.Now().Before(until) && ctx.Err() == nil; {
 		r.disrupt(ctx)
 		r.collectViolations()
@@ -75,6 +76,7 @@
 	r.checkRecovery(ctx)
 	stop()
 	wg.Wait()
+	r.checkTraffic()
 	r.collectViolations()
 	for _, p := range append(c.members, c.gateways...) {
 		if n := p.unexpectedExits(); n > 0 {
@@ -376,6 +378,9 @@
 			r.cluster.ledger.addViolation("gateway %d isn't ready %v after the last harm", i, recoveryTimeout)
 		}
 	}
+	for i := range r.cluster.cfg.Gateways {
+		r.checkGatewayConfig(ctx, i)
+	}
 	time.Sleep(2 * time.Second)
 	n := &r.load.counts
 	asked, served := n.sent.Load(), n.served.Load()
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -55,13 +55,15 @@
 	// target's id.
 	lastArrivals map[string]time.Time
 	violations   []string
+	traffic      *traffic
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, lastArrivals: map[string]time.Time{}}
+	return &ledger{runs: map[string]int{}, lastArrivals: map[string]time.Time{}, traffic: newTraffic()}
 }
 
 func (l *ledger) recordRun(id, service, target string) {
+	l.traffic.addArrival(service, id, target, true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id+" "+service]++
@@ -152,6 +154,7 @@
 		return
 	}
 	if mode == targetOverloaded {
+		t.ledger.traffic.addArrival(t.service, id, t.id, false)
 		w.Header().Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -202,6 +205,15 @@
 type targetList struct {
 	mu      sync.Mutex
 	targets []*standinTarget
+	// odd are entries of another writer, as JSON.
+	odd []string
+}
+
+// setOdd sets the entries of another writer.
+func (l *targetList) setOdd(entries []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.odd = entries
 }
 
 // listLag is the lag of the target list that the settings state.
@@ -225,5 +237,5 @@
 	if n := from + pageSize; n < len(l.targets) {
 		next = strconv.Itoa(n)
 	}
-	_, _ = w.Write(fake.Page(entries, next)) // A disconnected reader retries.
+	_, _ = w.Write(fake.Page(entries, l.odd, next)) // A disconnected reader retries.
 }
