--- a/internal/soak/inputs.go
+++ b/internal/soak/inputs.go
@@ -83,7 +83,7 @@
 		`{"id":7}`, `{bad}`,
 	}
 	r.printf("odd list entries, some of %s, for %v", t.id, d)
-	r.cluster.list.setOdd(odd[rng.IntN(len(odd)):])
+	r.cluster.list.setOdd([]string{odd[0], odd[1+rng.IntN(len(odd)-1)]})
 	wait.For(ctx, d)
 	r.cluster.list.setOdd(nil)
 }
