Bound silent targets' notices, waits and short grace times

A notice that a target is silent takes a place of a result in its channel, which had one place for each attempt, so that an attempt could wait for good to report its end. A shard that waits for a busy target since its first one is silent was asked again although the silent one had answered meanwhile. A grace time shorter than 0.8 s ended requests at once.

Ruled out: dropping the notices, which are what hedges early.

Change: two places for each attempt; a part ends its shard's wait; requests are finished for half the grace time at least.

Failed before: TestAnswerOfSilentTargetEndsWait ("pending true, asked 1 targets again"). The other two have no test of their own: the first needs the channel full at one moment, the third a setting that no deployment has.

--- a/forward/ackwatch_test.go
+++ b/forward/ackwatch_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/peridotmux/peridotmux/discovery"
 	"github.com/peridotmux/peridotmux/internal/connpool"
+	"github.com/peridotmux/peridotmux/route"
 )
 
 // startDarkPair starts a server with two targets of one service. The host of the first
@@ -126,3 +128,25 @@
 		t.Fatalf("status %d, body %q", got.status, got.body)
 	}
 }
+
+// Guards against a shard that waits for a busy target, since its first one is silent, and
+// is asked again although the silent one answered meanwhile.
+func TestAnswerOfSilentTargetEndsWait(t *testing.T) {
+	x := newFakeTarget(t, "t1", "one")
+	s := newTestServer(t, testTable(), x.entry())
+	req := &request{
+		id: "r", method: http.MethodGet, table: testTable(), received: time.Now(), deadline: time.Now().Add(time.Second),
+		route: &route.Route{Kind: route.Idempotent, Attempts: 2, Gather: &route.Gather{Shards: []route.ServiceName{"one", "two"}, TopK: 1}},
+	}
+	g := s.newGathering(req)
+	c := &call{server: s.Server, req: req, service: "one", attempts: 2, inFlight: 1, silent: 1, waiting: true, sendStates: []*sendState{{}}}
+	g.calls[0] = c
+	g.handleResult(context.Background(), &result{
+		shard: 0, backend: s.fleet.byID["t1"], sendState: c.sendStates[0],
+		outcome: Outcome{Verdict: Answered, Status: http.StatusOK, Header: http.Header{testHeaders.Signature: {"s"}}},
+	})
+	g.retryWaiting(context.Background())
+	if g.received != 1 || c.pending() || len(c.tried) != 0 {
+		t.Errorf("%d parts, pending %v, asked %d targets again", g.received, c.pending(), len(c.tried))
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -73,8 +73,8 @@
 }
 
 // resultsPerCall returns how many results a call may deliver that nobody receives any
-// more: one for each attempt.
-func resultsPerCall(r *route.Route) int { return r.Attempts + maxRejections + 1 }
+// more: for each attempt that its target is silent, and how it ended.
+func resultsPerCall(r *route.Route) int { return 2 * (r.Attempts + maxRejections + 1) }
 
 // pending reports whether the call may still get an answer.
 func (c *call) pending() bool { return c.inFlight > 0 || c.waiting || c.heldBack }
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -247,6 +247,7 @@
 	if signature := r.outcome.Header.Get(g.server.cfg.Headers.Signature); r.outcome.Success() && isListable(signature) {
 		g.addPart(r.shard, signature)
 		g.bodies = append(g.bodies, r.outcome.Body)
+		c.waiting = false
 		return
 	}
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,11 +233,12 @@
 func (g *Gateway) shutdown(front *http.Server) error {
 	began := time.Now()
 	g.leaving.Store(true)
-	lag := min(balancerLag, g.cfg.Settings.Grace/2)
-	g.server.Drain(began.Add(g.cfg.Settings.Grace - shutdownMargin - answerMargin))
+	grace := g.cfg.Settings.Grace
+	lag := min(balancerLag, grace/2)
+	g.server.Drain(began.Add(max(grace-shutdownMargin-answerMargin, grace/2)))
 	g.log.Info("shutdown begins", "balancer_lag", lag, "active", g.server.Active())
 	time.Sleep(lag)
-	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Settings.Grace-lag-shutdownMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-lag-shutdownMargin)
 	defer cancel()
 	err := front.Shutdown(ctx)
 	g.log.Info("shutdown ends", "after", time.Since(began), "active", g.server.Active(), "error", err)
