Add the second target of two tests once the first has got the request

The test added the good target 20 ms after its start; on the busy machine the request was sent later than that, and went to the good target first.

Change: the target is added as soon as the silent one has got the request.

--- a/forward/ackwatch_test.go
+++ b/forward/ackwatch_test.go
@@ -28,11 +28,22 @@
 	return s, dark, good
 }
 
+// addOnceAsked adds a target as soon as another one has got a request, so that a slow
+// machine doesn't add it before.
+func addOnceAsked(s *testServer, first, added *fakeTarget) {
+	go func() {
+		for len(first.requests()) == 0 && s.t.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		s.setTargets(first.entry(), added.entry())
+	}()
+}
+
 // A request that the target's host doesn't acknowledge must go to another target soon,
 // and the silent target must get no more requests.
 func TestUnacknowledgedRequestGoesElsewhere(t *testing.T) {
 	s, dark, good := startDarkPair(t, 2)
-	time.AfterFunc(20*time.Millisecond, func() { s.setTargets(dark.entry(), good.entry()) })
+	addOnceAsked(s, dark, good)
 	start := time.Now()
 	if got := s.send(http.MethodGet, "/one/x", "", "r1", 2000); got.status != http.StatusOK || time.Since(start) > 300*time.Millisecond {
 		t.Fatalf("status %d after %v", got.status, time.Since(start))
@@ -107,7 +118,7 @@
 		time.Sleep(6 * ackTime)
 		dark.ok(c, r, "late")
 	}
-	time.AfterFunc(20*time.Millisecond, func() { s.setTargets(dark.entry(), good.entry()) })
+	addOnceAsked(s, dark, good)
 	if got := s.send(http.MethodPost, "/once/x", "b", "r1", 2000); got.status != http.StatusOK || got.body != "late" {
 		t.Fatalf("status %d, body %q", got.status, got.body)
 	}
