--- a/forward/gather.go
+++ b/forward/gather.go
@@ -146,7 +146,7 @@
 	defer objectiveTimer.Stop()
 	hedge := time.NewTimer(hedgeDelay(g.req.route, g.late))
 	defer hedge.Stop()
-	helperDue := time.NewTimer(acceptTime(g.req.route))
+	helperDue := time.NewTimer(g.server.acceptTime(g.req.route))
 	defer helperDue.Stop()
 	defer g.free.Stop()
 	minParts := g.req.route.Gather.MinParts()
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -330,7 +330,7 @@
 // checkHelpers replaces the helpers that didn't answer in time and lets the others
 // proceed. It returns when to look at the next one, zero if there is none.
 func (g *gathering) checkHelpers(ctx context.Context, now time.Time) time.Time {
-	accept := acceptTime(g.req.route)
+	accept := g.server.acceptTime(g.req.route)
 	var next time.Time
 	for _, h := range g.handOvers {
 		due := h.dueAt(accept, g.objective)
--- a/forward/parts_test.go
+++ b/forward/parts_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
 
@@ -18,6 +19,10 @@
 func TestGatherIsDividedAmongRouters(t *testing.T) {
 	c := startCluster(t, 8)
 	c.denyExtraArrivals()
+	for _, s := range c.servers {
+		// A busy machine must not make a helper late.
+		s.acceptTime = func(*route.Route) time.Duration { return time.Second }
+	}
 	for i := range 20 {
 		id := fmt.Sprint("divided-", i)
 		c.checkComplete(t, c.servers[i%8].send(http.MethodGet, "/all/x", "", id, 1500), id, 1)
--- a/forward/server.go
+++ b/forward/server.go
@@ -75,10 +75,12 @@
 	// responseMemory bounds the bodies of the responses that are being read.
 	responseMemory *response.Memory
 	// unacked reports whether a target's host hasn't acknowledged all that was sent.
-	unacked   func(*connpool.Conn) bool
-	table     atomic.Pointer[route.Table]
-	sequences sync.Map // of route.Name to *atomic.Uint64
-	active    atomic.Int64
+	unacked func(*connpool.Conn) bool
+	// acceptTime returns how long a helper may take to accept shards.
+	acceptTime func(*route.Route) time.Duration
+	table      atomic.Pointer[route.Table]
+	sequences  sync.Map // of route.Name to *atomic.Uint64
+	active     atomic.Int64
 	// noKeepAlives makes responses carry "Connection: close".
 	noKeepAlives atomic.Bool
 	drain        *drain
@@ -93,7 +95,7 @@
 	s := &Server{
 		cfg: c, fleet: newFleet(c.VM, c.DataCentre, c.ListLag, c.Collector),
 		budget: newBudget(c.Budget, now), serviceTimes: newServiceTimes(), requestLog: newRequestLogger(c.Log), workers: newWorkers(), drain: newDrain(),
-		helpers: newHelpers(c.Log), unacked: (*connpool.Conn).Unacked,
+		helpers: newHelpers(c.Log), unacked: (*connpool.Conn).Unacked, acceptTime: acceptTime,
 	}
 	s.resume = newResumeGate(c.Confirmed, now)
 	s.responseMemory = response.NewMemory(cmp.Or(c.ResponseMemoryBytes, defaultResponseMemory))
