Let tests take documents and odd entries from platform/fake

Cause: a test of control's state and the soak spelled the platform's names out; only platform/ does.

Change: both use package fake, which builds the same documents.

--- a/internal/soak/inputs.go
+++ b/internal/soak/inputs.go
@@ -76,12 +76,7 @@
 // a target that others name.
 func (r *runner) oddEntries(ctx context.Context, rng *rand.Rand, d time.Duration) {
 	t := r.cluster.targets[rng.IntN(len(r.cluster.targets))]
-	odd := []string{
-		fmt.Sprintf(`{"id":%q,"service":"shard0","address":%q,"zone":"dc-a","slots":4,"state":"ready","coldLeftMs":0}`, t.id, t.proxy.listener.Addr()),
-		fmt.Sprintf(`{"id":%q,"service":"shard0","address":"10.0.0.1:70000","zone":"dc-a","version":"v1","slots":4,"state":"ready","coldLeftMs":0}`, t.id),
-		strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
-		`{"id":7}`, `{bad}`,
-	}
+	odd := fake.OddEntries(t.id, t.proxy.listener.Addr().String(), r.cluster.serviceName(0))
 	r.printf("odd list entries, some of %s, for %v", t.id, d)
 	r.cluster.list.setOdd([]string{odd[0], odd[1+rng.IntN(len(odd)-1)]})
 	wait.For(ctx, d)
