Keep the last run for the target of a withdrawn attempt

What callers saw: on a busy machine a gather lacked parts, and a single request failed with 502, though a healthy target was there.

Cause: a hedge withdraws an attempt that wasn't sent yet. If the hedge's target garbled its kept connection before the withdrawn attempt had ended, every target counted as tried, so the request went to the faulty target again and used up its last run there.

Ruled out, by log lines with the state of each target at the choice (scratch copy): a silent, suspect or full healthy target, the budget, the memory for responses.

Change: a garbled target is asked again only if no attempt is in flight.

--- a/forward/call.go
+++ b/forward/call.go
@@ -66,7 +66,8 @@
 	waiting    bool
 	rejectedBy []*backend
 	// garbledBy are the targets whose connection carried something else than the
-	// response. The request may go there again over another connection.
+	// response. The request may go there again over another connection, unless an
+	// attempt in flight may still be answered or, if withdrawn, make way for another.
 	garbledBy []*backend
 	// heldBack means that a retry waits until more attempts are allowed.
 	heldBack bool
@@ -162,7 +163,7 @@
 		objective: c.objective,
 	}
 	sel := c.server.fleet.choose(crit, now)
-	if sel == nil && len(c.garbledBy) > 0 {
+	if sel == nil && c.inFlight == 0 && len(c.garbledBy) > 0 {
 		crit.tried = c.allowAgain()
 		sel = c.server.fleet.choose(crit, now)
 	}
