Count the list's invalid entries in a metric

Ruled out: a counter. The list is read again all the time, so it would grow with the same entry; a gauge of the last read says what is there now.

Change: peridotmux_list_invalid_entries of each process that reads the list.

--- a/cmd/peridotmux-gateway-control/main.go
+++ b/cmd/peridotmux-gateway-control/main.go
@@ -40,8 +40,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	err = daemon.RunSelfForming(ctx, daemon.SelfFormingConfig{
-		Settings:  cfg,
-		NewReader: func(l *slog.Logger) discovery.Reader { return platform.NewListReader(cfg.TargetList.Addr, l) },
+		Settings: cfg,
+		NewReader: func(l *slog.Logger, m *telemetry.List) discovery.Reader {
+			return platform.NewListReader(cfg.TargetList.Addr, l, m)
+		},
 		RegisterOperatorAPI: func(o *orders.Orders, self netip.AddrPort, l *slog.Logger, r *mux.Router) {
 			platform.NewOperatorAPI(o, self, l).Register(r)
 		},
--- a/cmd/peridotmux-gateway/main.go
+++ b/cmd/peridotmux-gateway/main.go
@@ -42,8 +42,10 @@
 		Headers:   platform.Headers(),
 		PathReady: platform.PathReady,
 		Decode:    platform.DecodeRoutes,
-		NewReader: func(l *slog.Logger) discovery.Reader { return platform.NewListReader(cfg.TargetList.Addr, l) },
-		Seeds:     func() []netip.AddrPort { return current().Control },
+		NewReader: func(l *slog.Logger, m *telemetry.List) discovery.Reader {
+			return platform.NewListReader(cfg.TargetList.Addr, l, m)
+		},
+		Seeds: func() []netip.AddrPort { return current().Control },
 	}, out)
 	if err != nil {
 		log.Error("gateway failed", "error", trace.UserMessage(err), "report", trace.DebugReport(err))
--- a/control/daemon/self_forming.go
+++ b/control/daemon/self_forming.go
@@ -44,7 +44,7 @@
 type SelfFormingConfig struct {
 	Settings *settings.SelfFormingControl
 	// NewReader returns a reader of the platform's list of targets.
-	NewReader func(*slog.Logger) discovery.Reader
+	NewReader func(*slog.Logger, *telemetry.List) discovery.Reader
 	// RegisterOperatorAPI adds the API for the platform's operator to the HTTP
 	// server. The address is this member's HTTP address.
 	RegisterOperatorAPI func(*orders.Orders, netip.AddrPort, *slog.Logger, *mux.Router)
@@ -60,6 +60,7 @@
 	log       *slog.Logger
 	inventory *discovery.Inventory
 	outliers  *outlier.Hub
+	metrics   *telemetry.Metrics
 	group     *group.Group
 	formation *formation.Formation
 
@@ -79,18 +80,21 @@
 // writes its log to w.
 func RunSelfForming(ctx context.Context, f SelfFormingConfig, w io.Writer) error {
 	s := f.Settings
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	logs := telemetry.NewLogs(w, s.Log)
-	m := &member{cfg: f, settings: s, logs: logs, log: logs.Logger(settings.PartControl), inventory: discovery.NewInventory()}
+	m := &member{
+		cfg: f, settings: s, logs: logs, log: logs.Logger(settings.PartControl), inventory: discovery.NewInventory(),
+		metrics: metrics,
+	}
 	m.outliers = outlier.NewHub(outlier.HubConfig{
 		Self:       string(s.VM.Name),
 		IsLeader:   func() bool { return m.group.Leadership().Leads },
 		LeaderAddr: func() []netip.AddrPort { return otherLeader(m.group) },
 		Log:        m.log,
 	})
-	metrics, err := telemetry.NewMetrics()
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	rpcListener, err := listen(s.RPCListen.String())
 	if err != nil {
 		return trace.Wrap(err)
@@ -195,7 +199,7 @@
 	})
 	source := &discovery.Source{
 		Inventory:    m.inventory,
-		Reader:       m.cfg.NewReader(m.log),
+		Reader:       m.cfg.NewReader(m.log, &m.metrics.List),
 		Self:         string(m.settings.VM.Name),
 		IsReader:     func() bool { return log.Leadership().Leads },
 		Peers:        func() []netip.AddrPort { return otherLeader(log) },
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 	// Decode parses a route document.
 	Decode func([]byte) (*route.Table, error)
 	// NewReader returns a reader of the platform's target list.
-	NewReader func(*slog.Logger) discovery.Reader
+	NewReader func(*slog.Logger, *telemetry.List) discovery.Reader
 	// Seeds returns the control addresses in the current settings.
 	Seeds func() []netip.AddrPort
 }
@@ -283,7 +283,7 @@
 	list := g.cfg.Settings.TargetList
 	return &discovery.Source{
 		Inventory:    g.inventory,
-		Reader:       g.cfg.NewReader(g.log),
+		Reader:       g.cfg.NewReader(g.log, &g.metrics.List),
 		Self:         string(g.cfg.Settings.VM.Name),
 		IsReader:     func() bool { return false },
 		Needed:       func() bool { return g.server.Table() != nil },
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -35,6 +35,7 @@
 	Owner   Owner
 	Lease   Lease
 	Control Control
+	List    List
 	Forward *Forward
 
 	registry *prometheus.Registry
@@ -57,6 +58,7 @@
 	m.Owner = newOwner(b)
 	m.Lease = newLease(b)
 	m.Control = newControl(b)
+	m.List = newList(b)
 	m.Forward = newForward(b)
 	if b.err != nil {
 		return nil, b.err
