Let the soak replace control members and lose another disk after that

Ruled out: an action of its own beside the others: the order of all seeds would change, and a disk that another action empties meanwhile would be more than a group of three must bear.

Change: half of the lost disks are those of members that a new one at another address replaces, named to all by their settings; 4 s after its start another member loses its disk.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -68,21 +69,26 @@
 // cluster is everything that a soak runs: control members, gateways, the proxies
 // between them, stand-in targets and the target list.
 type cluster struct {
-	cfg           Config
-	network       *loopback.Network
-	ledger        *ledger
-	list          *targetList
-	targets       []*standinTarget
-	members       []*process
-	gateways      []*process
-	memberProxies []*proxy
-	listServer    *http.Server
+	cfg        Config
+	network    *loopback.Network
+	ledger     *ledger
+	list       *targetList
+	targets    []*standinTarget
+	gateways   []*process
+	listServer *http.Server
+
+	mu sync.Mutex
+	// members are the control members by place, and replaced those whose place another
+	// one has taken.
+	members  []member
+	replaced []*process
 }
 
-func (c *cluster) memberIP(i int) string  { return c.network.IP(1, i+1) }
-func (c *cluster) gatewayIP(i int) string { return c.network.IP(2, i+1) }
-func (c *cluster) targetIP(i int) string  { return c.network.IP(3, i+1) }
-func (c *cluster) listIP() string         { return c.network.IP(4, 1) }
+func (c *cluster) memberIP(i int) string   { return c.ipOfMember(c.member(i).number) }
+func (c *cluster) ipOfMember(n int) string { return c.network.IP(1, n+1) }
+func (c *cluster) gatewayIP(i int) string  { return c.network.IP(2, i+1) }
+func (c *cluster) targetIP(i int) string   { return c.network.IP(3, i+1) }
+func (c *cluster) listIP() string          { return c.network.IP(4, 1) }
 
 // dataCentreOf spreads VMs and targets over three data centres.
 func dataCentreOf(i int) string { return [...]string{"dc-a", "dc-b", "dc-c"}[i%3] }
@@ -196,46 +202,13 @@
 	return fmt.Sprintf("\n[target list]\naddress = %s:8229\nlag = %s\ndrain_time = %s\n", c.listIP(), listLag, drainTime)
 }
 
-// writeMemberSettings writes the settings of member i. firstStart is whether the
-// members form a new group.
-func (c *cluster) writeMemberSettings(i int, firstStart bool) error {
-	ip := c.memberIP(i)
-	text := fmt.Sprintf(controlSettingsFormat, i, dataCentreOf(i), ip, controlPort, ip, rpcPort, ip, rpcPort+1,
-		c.seeds(), rpcPort, firstStart, c.dataDir(i)) + c.listSection()
-	return os.WriteFile(c.path("control", i, ".ini"), []byte(text), 0o600)
-}
-
 func (c *cluster) path(kind string, i int, suffix string) string {
 	return filepath.Join(c.cfg.WorkDir, fmt.Sprint(kind, "-", i, suffix))
 }
 
-func (c *cluster) dataDir(i int) string { return c.path("data", i, "") }
-
-func (c *cluster) startControl() error {
-	for i := range controls {
-		ip := c.memberIP(i)
-		p, err := newProxy(fmt.Sprintf("%s:%d", ip, rpcPort), fmt.Sprintf("%s:%d", ip, rpcPort+1))
-		if err != nil {
-			return err
-		}
-		c.memberProxies = append(c.memberProxies, p)
-		if err := os.MkdirAll(c.dataDir(i), 0o700); err != nil {
-			return err
-		}
-		if err := c.writeMemberSettings(i, true); err != nil {
-			return err
-		}
-		c.members = append(c.members, c.newProcess("peridotmux-gateway-control", "control", i))
-	}
-	return startAll(c.members)
-}
-
 func (c *cluster) startGateways() error {
 	for i := range c.cfg.Gateways {
-		ip := c.gatewayIP(i)
-		text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
-			c.seeds(), rpcPort, gracePeriod, budgetRatio, budgetSlack, budgetWindow) + c.listSection()
-		if err := os.WriteFile(c.path("gateway", i, ".ini"), []byte(text), 0o600); err != nil {
+		if err := c.writeGatewaySettings(i); err != nil {
 			return err
 		}
 		c.gateways = append(c.gateways, c.newProcess("peridotmux-gateway", "gateway", i))
@@ -243,6 +216,13 @@
 	return startAll(c.gateways)
 }
 
+func (c *cluster) writeGatewaySettings(i int) error {
+	ip := c.gatewayIP(i)
+	text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
+		c.seeds(), rpcPort, gracePeriod, budgetRatio, budgetSlack, budgetWindow) + c.listSection()
+	return os.WriteFile(c.path("gateway", i, ".ini"), []byte(text), 0o600)
+}
+
 func (c *cluster) newProcess(name, kind string, i int) *process {
 	return &process{
 		name: fmt.Sprint(kind, "-", i), programPath: filepath.Join(c.cfg.BinDir, name),
@@ -262,14 +242,14 @@
 // close kills all processes that the soak started and closes the proxies, targets
 // and target list.
 func (c *cluster) close() {
-	for _, p := range append(c.members, c.gateways...) {
+	for _, p := range c.processes() {
 		if p.cmd != nil {
 			p.signal(syscall.SIGCONT)
 			p.kill()
 		}
 	}
-	for _, p := range c.memberProxies {
-		p.close()
+	for _, m := range c.members {
+		m.proxy.close()
 	}
 	for _, t := range c.targets {
 		t.close()
--- a/internal/soak/inputs.go
+++ b/internal/soak/inputs.go
@@ -39,7 +39,7 @@
 		case 0:
 			r.starve(ctx, r.cluster.gateways[rng.IntN(len(r.cluster.gateways))], d)
 		case 1:
-			r.starve(ctx, r.cluster.members[rng.IntN(len(r.cluster.members))], d)
+			r.starve(ctx, r.cluster.member(rng.IntN(controls)).process, d)
 		case 2:
 			r.growConfig(ctx, rng.IntN(maxAddedRoutes))
 		default:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -94,9 +94,9 @@
 	return p.unexpected
 }
 
-// wipe removes everything in a control member's data folder, to simulate the
+// wipeFolder removes everything in a control member's data folder, to simulate the
 // loss of its disk.
-func wipe(dir string) error {
+func wipeFolder(dir string) error {
 	names, err := filepath.Glob(filepath.Join(dir, "*"))
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,10 +33,12 @@
 
 // runner runs one soak.
 type runner struct {
-	cluster     *cluster
-	load        *callerLoad
-	operator    *operator
-	rng         *rand.Rand
+	cluster  *cluster
+	load     *callerLoad
+	operator *operator
+	rng      *rand.Rand
+	// places draws which lost disks are those of members that are replaced.
+	places      *rand.Rand
 	disruptions int
 	result      Result
 	// background counts disruptions that are still in progress, such as pending
@@ -58,7 +60,8 @@
 	defer c.close()
 	r := &runner{
 		cluster: c, load: &callerLoad{cluster: c}, operator: newOperator(c),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), //nolint:gosec // Not a secret.
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),  //nolint:gosec // Not a secret.
+		places: rand.New(rand.NewPCG(cfg.Seed, 13)), //nolint:gosec // Not a secret.
 	}
 	r.waitServing(ctx)
 	work, stop := context.WithCancel(ctx)
@@ -78,7 +81,7 @@
 	wg.Wait()
 	r.checkTraffic()
 	r.collectViolations()
-	for _, p := range append(c.members, c.gateways...) {
+	for _, p := range c.processes() {
 		if n := p.unexpectedExits(); n > 0 {
 			r.result.Violations = append(r.result.Violations, fmt.Sprintf("%s ended %d times by itself", p.name, n))
 		}
@@ -146,7 +149,7 @@
 	r.disruptions++
 	duration := time.Duration(500+r.rng.IntN(3000)) * time.Millisecond
 	actions := []func(context.Context, time.Duration){
-		r.killControl, r.freezeControl, r.wipeControl, r.disruptControlLink, r.killGateway, r.freezeGateway,
+		r.killControl, r.freezeControl, r.loseDisk, r.disruptControlLink, r.killGateway, r.freezeGateway,
 		r.stopGateway, r.reloadAll, r.disruptTarget, r.disruptTargetLink, r.changeConfig, r.takeOutDataCentre, r.killAllControl, r.resetAllLinks,
 	}
 	actions[r.rng.IntN(len(actions))](ctx, duration)
@@ -167,43 +170,19 @@
 }
 
 func (r *runner) killControl(_ context.Context, _ time.Duration) {
-	p := r.cluster.members[r.rng.IntN(controls)]
+	p := r.cluster.member(r.rng.IntN(controls)).process
 	r.printf("kill %s", p.name)
 	p.kill()
 	r.restart(p)
 }
 
 func (r *runner) freezeControl(_ context.Context, d time.Duration) {
-	p := r.cluster.members[r.rng.IntN(controls)]
+	p := r.cluster.member(r.rng.IntN(controls)).process
 	r.printf("freeze %s for %v", p.name, d)
 	p.signal(syscall.SIGSTOP)
 	r.undoAfter(d, func() { p.signal(syscall.SIGCONT) })
 }
 
-// wipeControl wipes a member's disk while all members are healthy, and checks
-// that the group admits the member again within recoveryTimeout.
-func (r *runner) wipeControl(ctx context.Context, _ time.Duration) {
-	r.background.Wait()
-	i := r.rng.IntN(controls)
-	p := r.cluster.members[i]
-	if !r.waitAllMembers(ctx) {
-		return
-	}
-	r.printf("wipe %s", p.name)
-	p.kill()
-	err := wipe(r.cluster.dataDir(i))
-	if err == nil {
-		err = r.cluster.writeMemberSettings(i, false)
-	}
-	if err != nil {
-		r.cluster.ledger.addViolation("%s not wiped: %v", p.name, err)
-	}
-	r.restart(p)
-	if !r.waitAllMembers(ctx) {
-		r.cluster.ledger.addViolation("%s wasn't taken in again", p.name)
-	}
-}
-
 // waitAllMembers waits up to recoveryTimeout and reports whether every member
 // has answered a read. A process answers reads only while it is a member of the
 // group.
@@ -223,8 +202,9 @@
 	i := r.rng.IntN(controls)
 	mode := linkMode(1 + r.rng.IntN(4)) //nolint:gosec // Below 5.
 	r.printf("link to control-%d: mode %d for %v", i, mode, d)
-	r.cluster.memberProxies[i].setMode(mode)
-	r.undoAfter(d, func() { r.cluster.memberProxies[i].setMode(linkPass); r.cluster.memberProxies[i].resetAll() })
+	p := r.cluster.member(i).proxy
+	p.setMode(mode)
+	r.undoAfter(d, func() { p.setMode(linkPass); p.resetAll() })
 }
 
 func (r *runner) killGateway(_ context.Context, _ time.Duration) {
@@ -261,7 +241,7 @@
 // reloadAll makes all processes reload their settings.
 func (r *runner) reloadAll(context.Context, time.Duration) {
 	r.printf("hang up on all")
-	for _, p := range append(append([]*process(nil), r.cluster.gateways...), r.cluster.members...) {
+	for _, p := range r.cluster.processes() {
 		p.signal(syscall.SIGHUP)
 	}
 }
@@ -346,18 +326,18 @@
 
 func (r *runner) killAllControl(context.Context, time.Duration) {
 	r.printf("kill all of control")
-	for _, p := range r.cluster.members {
-		p.kill()
+	for i := range controls {
+		r.cluster.member(i).process.kill()
 	}
-	for _, p := range r.cluster.members {
-		r.restart(p)
+	for i := range controls {
+		r.restart(r.cluster.member(i).process)
 	}
 }
 
 func (r *runner) resetAllLinks(context.Context, time.Duration) {
 	r.printf("reset all links")
-	for _, p := range r.cluster.memberProxies {
-		p.resetAll()
+	for i := range controls {
+		r.cluster.member(i).proxy.resetAll()
 	}
 	for _, t := range r.cluster.targets {
 		t.proxy.resetAll()
