Let the soak check planned stops, memory and restarted gateways

Ruled out: lost connections alone as the check of a planned stop (kills, freezes and targets' resets cut requests, too); reading the memory at the end only (restarts hide it).

Change: a request that a target ran and that only a planned stop can have cut is a violation; half of the stops come while requests take 1.5 s, with a grace time of 3 s. No process may exceed the memory of its settings while configurations of up to 6,000 routes come 40 times in a row. A gateway that was started again must obey the newest acknowledged configuration. Targets of requests that must not repeat reject health checks and send a copy of that answer where the next request's is due.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -77,11 +79,13 @@
 	r.Header.Set(headers.RequestID, id)
 	r.Header.Set(headers.TimeLeftMS, fmt.Sprint(requestTimeLimit.Milliseconds()))
 	l.counts.sent.Add(1)
+	sentAt := time.Now()
 	l.cluster.ledger.traffic.addSent(l.cluster.servicesOf(path))
 	resp, err := client.Do(r)
 	if err != nil {
 		l.counts.failed.Add(1)
 		l.checkRanOnce(path, id, 0)
+		l.checkStop(ctx, err, l.cluster.gateways[gateway], sentAt, path, id)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -89,6 +93,7 @@
 	switch {
 	case err != nil:
 		l.counts.failed.Add(1)
+		l.checkStop(ctx, err, l.cluster.gateways[gateway], sentAt, path, id)
 	case resp.StatusCode == http.StatusOK:
 		l.counts.served.Add(1)
 		l.checkAnswer(path, id, resp.Header, string(got))
@@ -179,6 +184,21 @@
 	}
 }
 
+// checkStop checks that a planned stop of a gateway didn't cut a request that a target
+// had run. err is how the request ended.
+func (l *callerLoad) checkStop(ctx context.Context, err error, p *process, sentAt time.Time, path, id string) {
+	var netErr net.Error
+	if ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout() || !p.cutsByStop(sentAt) {
+		return
+	}
+	for _, service := range l.cluster.servicesOf(path) {
+		if l.cluster.ledger.runCount(id, service) > 0 {
+			l.cluster.ledger.addViolation("request %s was cut by the planned stop of %s after %v: %v", id, p.name, time.Since(sentAt), err)
+			return
+		}
+	}
+}
+
 // checkStatus checks that a valid request gets no 3xx or 4xx response.
 func (l *callerLoad) checkStatus(status int, id string) {
 	if status >= 300 && status < 500 {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -32,8 +32,10 @@
 	gatewayPort   = 18226
 	readinessPort = 18227
 	pagesPort     = 18228
-	gracePeriod   = 6 * time.Second
 	drainTime     = 3 * time.Second
+	// gracePeriod is short, so that requests that take long are still running at its
+	// end.
+	gracePeriod = 3 * time.Second
 	// quietBound is the time after a data centre is taken out from which its
 	// targets must get no new work.
 	quietBound = 5 * time.Second
@@ -43,6 +45,9 @@
 	// recoveryTimeout bounds the time until the cluster works again after a
 	// disruption.
 	recoveryTimeout = 12 * time.Second
+	// memberMemoryMB and gatewayMemoryMB are the memory that processes may use, in MiB.
+	memberMemoryMB  = 280
+	gatewayMemoryMB = 284
 )
 
 // Config configures a soak.
@@ -176,7 +181,7 @@
 control_rpc_port = %d
 first_start = %v
 data_folder = %s
-memory_mb = 280
+memory_mb = %d
 `
 
 const gatewaySettingsFormat = `[gateway]
@@ -189,7 +194,7 @@
 control = %s
 control_rpc_port = %d
 grace = %s
-memory_mb = 284
+memory_mb = %d
 link_mbps = 1000
 
 [extra arrivals]
@@ -219,7 +224,7 @@
 func (c *cluster) writeGatewaySettings(i int) error {
 	ip := c.gatewayIP(i)
 	text := fmt.Sprintf(gatewaySettingsFormat, i, dataCentreOf(i), ip, gatewayPort, ip, rpcPort, ip, readinessPort, ip, pagesPort,
-		c.seeds(), rpcPort, gracePeriod, budgetRatio, budgetSlack, budgetWindow) + c.listSection()
+		c.seeds(), rpcPort, gracePeriod, gatewayMemoryMB, budgetRatio, budgetSlack, budgetWindow) + c.listSection()
 	return os.WriteFile(c.path("gateway", i, ".ini"), []byte(text), 0o600)
 }
 
--- a/internal/soak/disks.go
+++ b/internal/soak/disks.go
@@ -17,7 +17,7 @@
 	if !r.waitAllMembers(ctx) {
 		return
 	}
-	if r.places.IntN(2) == 0 {
+	if r.variants.IntN(2) == 0 {
 		r.wipe(ctx, i)
 		return
 	}
@@ -26,7 +26,7 @@
 		return
 	}
 	time.Sleep(time.Until(begun.Add(catchUpTime)))
-	r.wipe(ctx, (i+1+r.places.IntN(controls-1))%controls)
+	r.wipe(ctx, (i+1+r.variants.IntN(controls-1))%controls)
 }
 
 // wipe empties the disk of the member at a place and checks that the member is taken in
--- a/internal/soak/inputs.go
+++ b/internal/soak/inputs.go
@@ -20,14 +20,14 @@
 	stoppedTurn = 40 * time.Millisecond
 	runningTurn = 10 * time.Millisecond
 	// maxAddedRoutes is the number of routes that a large configuration adds, and
-	// changesInARow how often it is changed then.
-	maxAddedRoutes = 1500
-	changesInARow  = 6
+	// maxChangesInARow how often it is changed then.
+	maxAddedRoutes   = 6000
+	maxChangesInARow = 40
 )
 
-// disruptInputs starves processes of processor time, sends large configurations in a row
-// and puts entries of another writer into the target list, beside the other disruptions,
-// until cfg.Duration has passed or ctx ends. Its random numbers are its own, so that the
+// disruptInputs starves processes of processor time, sends large configurations in a row,
+// lets targets send copies of answers and puts entries of another writer into the target
+// list, beside the other disruptions, until cfg.Duration has passed or ctx ends. Its random numbers are its own, so that the
 // other disruptions of a seed don't depend on it.
 func (r *runner) disruptInputs(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, r.cluster.cfg.Duration)
@@ -35,13 +35,15 @@
 	rng := rand.New(rand.NewPCG(r.cluster.cfg.Seed, 11)) //nolint:gosec // Not a secret.
 	for ctx.Err() == nil {
 		d := time.Duration(500+rng.IntN(2500)) * time.Millisecond
-		switch rng.IntN(4) {
+		switch rng.IntN(5) {
 		case 0:
 			r.starve(ctx, r.cluster.gateways[rng.IntN(len(r.cluster.gateways))], d)
 		case 1:
 			r.starve(ctx, r.cluster.member(rng.IntN(controls)).process, d)
 		case 2:
-			r.growConfig(ctx, rng.IntN(maxAddedRoutes))
+			r.growConfig(ctx, rng.IntN(maxAddedRoutes), 1+rng.IntN(maxChangesInARow))
+		case 3:
+			r.copyHealthAnswers(ctx, rng, d)
 		default:
 			r.oddEntries(ctx, rng, d)
 		}
@@ -62,10 +64,10 @@
 }
 
 // growConfig sends configurations with more routes in a row.
-func (r *runner) growConfig(ctx context.Context, routes int) {
-	r.printf("change a configuration with %d routes more, %d times", routes, changesInARow)
+func (r *runner) growConfig(ctx context.Context, routes, changes int) {
+	r.printf("change a configuration with %d routes more, %d times", routes, changes)
 	r.operator.setAddedRoutes(routes)
-	for range changesInARow {
+	for i := 0; i < changes && ctx.Err() == nil; i++ {
 		callCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 		r.operator.changeConfig(callCtx)
 		cancel()
@@ -91,21 +93,24 @@
 }
 
 // checkGatewayConfig checks that a gateway obeys the newest acknowledged configuration, or
-// a newer one, within applyBound.
-func (r *runner) checkGatewayConfig(ctx context.Context, i int) {
-	r.operator.mu.Lock()
-	acked := r.operator.acked
-	if r.cluster.cfg.Plant == "lost" {
-		acked += 100
-	}
-	r.operator.mu.Unlock()
-	version := uint64(0)
-	for until := time.Now().Add(applyBound); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-		if version = r.gatewayVersion(ctx, i); version >= acked {
+// a newer one, within a time. The check ends if the gateway is disturbed meanwhile.
+func (r *runner) checkGatewayConfig(ctx context.Context, i int, within time.Duration) {
+	acked := r.operator.newestAcked()
+	begun, version := time.Now(), uint64(0)
+	for time.Since(begun) < within {
+		if version = r.gatewayVersion(ctx, i); version >= acked || r.cluster.gateways[i].disturbedSince(begun) {
 			return
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
-	r.cluster.ledger.addViolation("gateway %d obeys version %d, %d was acknowledged", i, version, acked)
+	r.cluster.ledger.addViolation("gateway %d obeys version %d after %v, %d was acknowledged", i, version, within, acked)
+}
+
+// restartGateway starts a gateway that has ended and checks its configuration beside
+// further disruptions.
+func (r *runner) restartGateway(ctx context.Context, i int) {
+	r.restart(r.cluster.gateways[i])
+	r.background.Go(func() { r.checkGatewayConfig(ctx, i, recoveryTimeout) })
 }
 
 // gatewayVersion returns the version of the routes in force at a gateway, 0 if it is
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -13,6 +13,9 @@
 	"github.com/peridotmux/peridotmux/platform/fake"
 )
 
+// plantedVersions is how much newer than the newest version a planted one is.
+const plantedVersions = 100
+
 // operator changes the configuration, evacuates data centres, and reads the
 // configuration back from all members.
 type operator struct {
@@ -72,6 +75,16 @@
 	return false
 }
 
+// newestAcked returns the newest acknowledged version.
+func (o *operator) newestAcked() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.cluster.cfg.Plant == "lost" && o.acked > 0 {
+		return o.acked + plantedVersions
+	}
+	return o.acked
+}
+
 // setAddedRoutes sets how many routes that no caller uses further configurations have.
 func (o *operator) setAddedRoutes(n int) {
 	o.mu.Lock()
@@ -129,11 +142,8 @@
 // member answered. The configuration must be one that was sent, and must not be
 // older than a version that was acknowledged more than applyBound ago.
 func (o *operator) checkRead(ctx context.Context, member int) bool {
+	acked := o.newestAcked()
 	o.mu.Lock()
-	acked := o.acked
-	if o.cluster.cfg.Plant == "lost" && acked > 0 {
-		acked += 100
-	}
 	mustApply := time.Since(o.ackedAt) > applyBound
 	o.mu.Unlock()
 	status, got, err := o.call(ctx, http.MethodGet, member, fake.PathConfig, nil)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// harmEffect is how long a harm may still delay a process after its end.
+const harmEffect = 2 * time.Second
+
 // process is a program that the soak starts and restarts. Its methods may be
 // called concurrently.
 type process struct {
@@ -23,8 +26,15 @@
 	unexpected int
 	// exitExpected is set when the soak sends a signal that ends the process.
 	exitExpected bool
+	// stop is the last planned stop, and harmedAt when the process was last killed,
+	// frozen or continued.
+	stop     plannedStop
+	harmedAt time.Time
 }
 
+// plannedStop is the time from SIGTERM until the process had exited, zero if it hasn't.
+type plannedStop struct{ began, ended time.Time }
+
 // start starts the program. Its output is appended to the log.
 func (p *process) start() error {
 	p.mu.Lock()
@@ -48,6 +58,7 @@
 		if p.cmd == cmd && !p.exitExpected {
 			p.unexpected++
 		}
+		p.stop.ended = time.Now()
 		p.mu.Unlock()
 		close(exited)
 	}()
@@ -61,7 +72,12 @@
 	if p.cmd == nil {
 		return
 	}
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+	if s == syscall.SIGTERM {
+		p.stop = plannedStop{began: time.Now()}
+	} else if s != syscall.SIGHUP {
+		p.harmedAt = time.Now()
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
 		p.exitExpected = true
 	}
 	_ = p.cmd.Process.Signal(s) // Fails only if it has already exited.
@@ -88,6 +104,25 @@
 	p.wait(time.Second)
 }
 
+// cutsByStop reports whether a request that was sent at a time and is cut now can only be
+// cut by a planned stop: one was in progress meanwhile, and no harm since before.
+func (p *process) cutsByStop(sent time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stop.began.IsZero() || p.harmedAt.After(sent.Add(-harmEffect)) {
+		return false
+	}
+	return p.stop.ended.IsZero() || p.stop.ended.After(sent)
+}
+
+// disturbedSince reports whether the soak has disturbed or stopped the process since a
+// time.
+func (p *process) disturbedSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.harmedAt.After(at) || p.stop.began.After(at)
+}
+
 func (p *process) unexpectedExits() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,13 +37,17 @@
 	load     *callerLoad
 	operator *operator
 	rng      *rand.Rand
-	// places draws which lost disks are those of members that are replaced.
-	places      *rand.Rand
+	// variants draws how a disruption is done, so that the order of those of a seed
+	// doesn't depend on it.
+	variants    *rand.Rand
 	disruptions int
 	result      Result
 	// background counts disruptions that are still in progress, such as pending
 	// undos and restarts.
 	background sync.WaitGroup
+	// mostMemoryMB is the most memory that a process was seen to use, in MiB. Only
+	// watchMemory uses it while it runs.
+	mostMemoryMB int
 	// outMu guards cfg.Out.
 	outMu sync.Mutex
 }
@@ -60,8 +64,8 @@
 	defer c.close()
 	r := &runner{
 		cluster: c, load: &callerLoad{cluster: c}, operator: newOperator(c),
-		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),  //nolint:gosec // Not a secret.
-		places: rand.New(rand.NewPCG(cfg.Seed, 13)), //nolint:gosec // Not a secret.
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),  //nolint:gosec // Not a secret.
+		variants: rand.New(rand.NewPCG(cfg.Seed, 13)), //nolint:gosec // Not a secret.
 	}
 	r.waitServing(ctx)
 	work, stop := context.WithCancel(ctx)
@@ -70,6 +74,7 @@
 	wg.Go(func() { r.operator.pollConfig(work) })
 	wg.Go(func() { r.disruptResponses(work) })
 	wg.Go(func() { r.disruptInputs(work) })
+	wg.Go(func() { r.watchMemory(work) })
 	for until := time.Now().Add(cfg.Duration); time.Now().Before(until) && ctx.Err() == nil; {
 		r.disrupt(ctx)
 		r.collectViolations()
@@ -79,6 +84,7 @@
 	r.checkRecovery(ctx)
 	stop()
 	wg.Wait()
+	r.printf("no process used more than %d MiB of memory", r.mostMemoryMB)
 	r.checkTraffic()
 	r.collectViolations()
 	for _, p := range c.processes() {
@@ -207,11 +213,12 @@
 	r.undoAfter(d, func() { p.setMode(linkPass); p.resetAll() })
 }
 
-func (r *runner) killGateway(_ context.Context, _ time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
+func (r *runner) killGateway(ctx context.Context, _ time.Duration) {
+	i := r.rng.IntN(r.cluster.cfg.Gateways)
+	p := r.cluster.gateways[i]
 	r.printf("kill %s", p.name)
 	p.kill()
-	r.restart(p)
+	r.restartGateway(ctx, i)
 }
 
 func (r *runner) freezeGateway(_ context.Context, d time.Duration) {
@@ -222,22 +229,37 @@
 }
 
 // stopGateway shuts a gateway down gracefully while callers keep using their
-// connections to it.
-func (r *runner) stopGateway(_ context.Context, _ time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
+// connections to it, in some cases for requests that take long.
+func (r *runner) stopGateway(ctx context.Context, _ time.Duration) {
+	i := r.rng.IntN(r.cluster.cfg.Gateways)
+	p := r.cluster.gateways[i]
 	r.printf("stop %s", p.name)
+	longWork := r.variants.IntN(2) == 0
+	if longWork {
+		r.setSingleMode(targetLong)
+	}
 	p.signal(syscall.SIGTERM)
 	r.background.Go(func() {
 		begun := time.Now()
 		p.wait(gracePeriod + 5*time.Second)
+		if longWork {
+			r.setSingleMode(targetOK)
+		}
 		if took := time.Since(begun); took > gracePeriod+time.Second {
 			r.printf("%s took %v to stop", p.name, took)
 		}
-		r.restart(p)
+		r.restartGateway(ctx, i)
 	})
 	time.Sleep(gracePeriod)
 }
 
+// setSingleMode sets the mode of all targets of the routes to a single service.
+func (r *runner) setSingleMode(m targetMode) {
+	for _, t := range r.cluster.singleTargets() {
+		t.setMode(m)
+	}
+}
+
 // reloadAll makes all processes reload their settings.
 func (r *runner) reloadAll(context.Context, time.Duration) {
 	r.printf("hang up on all")
@@ -359,7 +381,7 @@
 		}
 	}
 	for i := range r.cluster.cfg.Gateways {
-		r.checkGatewayConfig(ctx, i)
+		r.checkGatewayConfig(ctx, i, applyBound)
 	}
 	time.Sleep(2 * time.Second)
 	n := &r.load.counts
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -23,12 +23,23 @@
 
 const (
 	targetOK            targetMode = iota
-	targetSlow                     // adds 150 ms to each request
+	targetSlow                     // takes longer for each request
 	targetOverloaded               // refuses requests with 503 and marks them as not run
 	targetResetsAnswers            // runs requests, then resets the connection
-	targetGone                     // has no effect
+	targetLong                     // takes most of the routes' limit for each request
 )
 
+// workTime is the time of a request, and addedWorkTime what some modes add to it.
+const workTime = 3 * time.Millisecond
+
+var addedWorkTime = map[targetMode]time.Duration{
+	targetSlow: 150 * time.Millisecond,
+	targetLong: 1500 * time.Millisecond,
+}
+
+// singleTargets returns the targets of the routes to a single service.
+func (c *cluster) singleTargets() []*standinTarget { return c.targets[c.cfg.Shards*replicas:] }
+
 // standinTarget is an HTTP server behind a proxy that stands in for a target and
 // records what it ran in a ledger.
 type standinTarget struct {
@@ -43,8 +54,12 @@
 	// endless is the form in which the target sends bytes without end instead of
 	// responses, empty if it doesn't.
 	endless endless.Form
+	// copies means that the target sends answers to health checks twice.
+	copies bool
 }
 
+const healthPath = "/health"
+
 // ledger records the requests that targets ran and the violations found. Its
 // methods may be called concurrently.
 type ledger struct {
@@ -140,7 +155,11 @@
 	mode, _ := t.state()
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
-	if r.URL.Path == "/health" {
+	if r.URL.Path == healthPath {
+		if t.sendsCopies() {
+			t.serveCopies(w)
+			return
+		}
 		if f := t.endlessForm(); f != "" {
 			sendEndless(w, f, "", "")
 			return
@@ -160,10 +179,7 @@
 		return
 	}
 	t.ledger.recordRun(id, t.service, t.id)
-	if mode == targetSlow {
-		time.Sleep(150 * time.Millisecond)
-	}
-	time.Sleep(3 * time.Millisecond)
+	time.Sleep(workTime + addedWorkTime[mode])
 	if mode == targetResetsAnswers {
 		hijacked, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
