Share the routers' play between two tests of the budget

Cause: both tests held the same loop over milliseconds and routers.

Ruled out: a change of what they check: with the whole slack after a restart TestBudgetOverRestarts fails as before, with a ratio over the limit both do.

Measured: both pass.

--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -29,38 +29,63 @@
 	}
 }
 
+// budgetPlay plays the requests and extra arrivals of routers at one service, one router
+// after the other.
+type budgetPlay struct {
+	limits          BudgetLimits
+	start           time.Time
+	budgets         []*budget
+	requests, extra []time.Time
+}
+
+// newBudgetPlay returns routers that started more than a window ago.
+func newBudgetPlay(routers int) *budgetPlay {
+	p := &budgetPlay{
+		limits: BudgetLimits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
+		start:  time.Unix(1000, 0), budgets: make([]*budget, routers),
+	}
+	p.restart(p.start.Add(-p.limits.Window))
+	return p
+}
+
+// restart starts all routers at a time.
+func (p *budgetPlay) restart(at time.Time) {
+	for i := range p.budgets {
+		p.budgets[i] = newBudget(p.limits, at)
+	}
+}
+
+// step plays the millisecond ms after the start: at one router a request, if there is
+// one, and some tries of an extra arrival.
+func (p *budgetPlay) step(ms int, request bool, tries int) {
+	now := p.start.Add(time.Duration(ms) * time.Millisecond)
+	b := p.budgets[ms%len(p.budgets)]
+	if request {
+		b.recordRequest("s", now)
+		p.requests = append(p.requests, now)
+	}
+	for range tries {
+		if b.tryAcquire("s", 1/float64(len(p.budgets)), urgencyHigh, now) {
+			p.extra = append(p.extra, now)
+		}
+	}
+}
+
 // The extra arrivals of all routers together stay within the limits in every
 // window, even if every request needs some, and each urgency finds room.
 func TestBudgetOverAllRouters(t *testing.T) {
-	const routers, slack = 8, 56
-	limits := BudgetLimits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second}
-	start := time.Unix(1000, 0)
-	var all [routers]*budget
-	for i := range all {
-		all[i] = newBudget(limits, start.Add(-limits.Window))
-	}
-	var requests, extra []time.Time
+	p := newBudgetPlay(8)
 	for ms := range 60_000 {
-		now := start.Add(time.Duration(ms) * time.Millisecond)
-		b := all[ms%routers]
-		if ms < 20_000 || ms%10 == 0 {
-			b.recordRequest("s", now)
-			requests = append(requests, now)
-		}
-		for range 2 {
-			if b.tryAcquire("s", 1/float64(routers), urgencyHigh, now) {
-				extra = append(extra, now)
-			}
-		}
+		p.step(ms, ms < 20_000 || ms%10 == 0, 2)
 	}
-	checkExtra(t, limits, requests, extra)
-	b := newBudget(limits, start.Add(-limits.Window))
+	checkExtra(t, p.limits, p.requests, p.extra)
+	b := newBudget(p.limits, p.start.Add(-p.limits.Window))
 	for range 1000 {
-		b.recordRequest("s", start)
+		b.recordRequest("s", p.start)
 	}
 	count := func(level urgency) int {
 		n := 0
-		for b.tryAcquire("s", 1, level, start) {
+		for b.tryAcquire("s", 1, level, p.start) {
 			n++
 		}
 		return n
@@ -73,31 +98,15 @@
 // Guards against processes that have the whole slack again after a restart: the earlier
 // ones on their VMs may have used it just before.
 func TestBudgetOverRestarts(t *testing.T) {
-	const routers = 8
-	limits := BudgetLimits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
-	start := time.Unix(1000, 0)
-	var all [routers]*budget
-	for i := range all {
-		all[i] = newBudget(limits, start.Add(-limits.Window))
-	}
-	var requests, extra []time.Time
+	const routers, restartMS = 8, 15_000
+	p := newBudgetPlay(routers)
 	for ms := range 40_000 {
-		now := start.Add(time.Duration(ms) * time.Millisecond)
-		if ms == 15_000 {
-			for i := range all {
-				all[i] = newBudget(limits, now)
-			}
-		}
-		b := all[ms%routers]
-		if ms%100 < routers {
-			b.recordRequest("s", now)
-			requests = append(requests, now)
-		}
-		if b.tryAcquire("s", 1/float64(routers), urgencyHigh, now) {
-			extra = append(extra, now)
+		if ms == restartMS {
+			p.restart(p.start.Add(restartMS * time.Millisecond))
 		}
+		p.step(ms, ms%100 < routers, 1)
 	}
-	checkExtra(t, limits, requests, extra)
+	checkExtra(t, p.limits, p.requests, p.extra)
 }
 
 // Guards against shares of the budget that grow as soon as control loses sight of some
