Let a part that counts twice show in every answer of the soak

Cause: an answer held the 3 greatest records of 26 shards, so a part that was merged twice showed only if it was one of three.

Change: answers hold as many records as there are shards, the greater one of each.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -108,7 +108,7 @@
 
 // checkAnswer checks a 200 response. On a route to one service, it must be the
 // complete response of a target to this request. On the fan-out route, it must
-// be the 3 greatest records of the parts named in its headers, with each service
+// be the topK greatest records of the parts named in its headers, with each service
 // named at most once and at most one missing.
 func (l *callerLoad) checkAnswer(path, id string, h http.Header, body string) {
 	if path != "/all/x" {
@@ -133,8 +133,8 @@
 		partRecords := answerBody(service, id)
 		records = append(records, partRecords[:16], partRecords[16:])
 	}
-	if body != topRecords(records, 3) {
-		l.cluster.ledger.addViolation("request %s got %q, the parts say %q", id, body, topRecords(records, 3))
+	if want := topRecords(records, l.cluster.topK()); body != want {
+		l.cluster.ledger.addViolation("request %s got %q, the parts say %q", id, body, want)
 	}
 }
 
--- a/internal/soak/copies.go
+++ b/internal/soak/copies.go
@@ -21,7 +21,7 @@
 // twice, the second time where the answer to a request is due. It is one of the targets
 // of requests that must not run twice.
 func (r *runner) copyHealthAnswers(ctx context.Context, rng *rand.Rand, d time.Duration) {
-	targets := r.cluster.singleTargets()
+	targets := r.cluster.targetsOf(r.cluster.cfg.Shards)
 	t := targets[rng.IntN(len(targets))]
 	r.printf("target %s: copies of health answers for %v", t.id, d)
 	t.setCopies(true)
--- a/internal/soak/inputs.go
+++ b/internal/soak/inputs.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -92,53 +89,12 @@
 	}
 }
 
-// checkGatewayConfig checks that a gateway obeys the newest acknowledged configuration, or
-// a newer one, within a time. The check ends if the gateway is disturbed meanwhile.
-func (r *runner) checkGatewayConfig(ctx context.Context, i int, within time.Duration) {
-	acked := r.operator.newestAcked()
-	begun, version := time.Now(), uint64(0)
-	for time.Since(begun) < within {
-		if version = r.gatewayVersion(ctx, i); version >= acked || r.cluster.gateways[i].disturbedSince(begun) {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	r.cluster.ledger.addViolation("gateway %d obeys version %d after %v, %d was acknowledged", i, version, within, acked)
-}
-
-// restartGateway starts a gateway that has ended and checks its configuration beside
-// further disruptions.
-func (r *runner) restartGateway(ctx context.Context, i int) {
-	r.restart(r.cluster.gateways[i])
-	r.background.Go(func() { r.checkGatewayConfig(ctx, i, recoveryTimeout) })
-}
-
-// gatewayVersion returns the version of the routes in force at a gateway, 0 if it is
-// unknown.
-func (r *runner) gatewayVersion(ctx context.Context, i int) uint64 {
-	url := fmt.Sprintf("http://%s:%d/status", r.cluster.gatewayIP(i), pagesPort)
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0
-	}
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	page, _ := io.ReadAll(resp.Body) // A part of it has no version.
-	_, rest, _ := strings.Cut(string(page), "routes: version ")
-	var version uint64
-	_, _ = fmt.Sscan(rest, &version) // No number leaves 0.
-	return version
-}
-
 // addedRoutes returns routes that no caller uses.
 func addedRoutes(n int) []fake.Route {
 	out := make([]fake.Route, 0, n)
 	for i := range n {
 		out = append(out, fake.Route{
-			Host: host, Prefix: fmt.Sprintf("/added-%d/", i), Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300,
+			Host: host, Prefix: fmt.Sprintf("/added-%d/", i), Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: int(objective.Milliseconds()),
 		})
 	}
 	return out
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -16,6 +16,9 @@
 // plantedVersions is how much newer than the newest version a planted one is.
 const plantedVersions = 100
 
+// objective is that of all routes.
+const objective = 300 * time.Millisecond
+
 // operator changes the configuration, evacuates data centres, and reads the
 // configuration back from all members.
 type operator struct {
@@ -45,9 +48,9 @@
 func (c *cluster) routeDocument(version uint64, added int) []byte {
 	shardServices := c.servicesOf("/all/x")
 	return fake.RouteDocument(version, append([]fake.Route{
-		{Host: host, Prefix: "/one/", Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300},
-		{Host: host, Prefix: "/once/", Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: 300},
-		{Host: host, Prefix: "/all/", Idempotent: true, Services: shardServices, MaxMissing: 1, TimeLimitMS: 2000, ObjectiveMS: 300, TopK: 3},
+		{Host: host, Prefix: "/one/", Idempotent: true, Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: int(objective.Milliseconds())},
+		{Host: host, Prefix: "/once/", Services: []string{"single"}, TimeLimitMS: 2000, ObjectiveMS: int(objective.Milliseconds())},
+		{Host: host, Prefix: "/all/", Idempotent: true, Services: shardServices, MaxMissing: 1, TimeLimitMS: 2000, ObjectiveMS: int(objective.Milliseconds()), TopK: c.topK()},
 	}, addedRoutes(added)...))
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -213,53 +213,6 @@
 	r.undoAfter(d, func() { p.setMode(linkPass); p.resetAll() })
 }
 
-func (r *runner) killGateway(ctx context.Context, _ time.Duration) {
-	i := r.rng.IntN(r.cluster.cfg.Gateways)
-	p := r.cluster.gateways[i]
-	r.printf("kill %s", p.name)
-	p.kill()
-	r.restartGateway(ctx, i)
-}
-
-func (r *runner) freezeGateway(_ context.Context, d time.Duration) {
-	p := r.cluster.gateways[r.rng.IntN(r.cluster.cfg.Gateways)]
-	r.printf("freeze %s for %v", p.name, d)
-	p.signal(syscall.SIGSTOP)
-	r.undoAfter(d, func() { p.signal(syscall.SIGCONT) })
-}
-
-// stopGateway shuts a gateway down gracefully while callers keep using their
-// connections to it, in some cases for requests that take long.
-func (r *runner) stopGateway(ctx context.Context, _ time.Duration) {
-	i := r.rng.IntN(r.cluster.cfg.Gateways)
-	p := r.cluster.gateways[i]
-	r.printf("stop %s", p.name)
-	longWork := r.variants.IntN(2) == 0
-	if longWork {
-		r.setSingleMode(targetLong)
-	}
-	p.signal(syscall.SIGTERM)
-	r.background.Go(func() {
-		begun := time.Now()
-		p.wait(gracePeriod + 5*time.Second)
-		if longWork {
-			r.setSingleMode(targetOK)
-		}
-		if took := time.Since(begun); took > gracePeriod+time.Second {
-			r.printf("%s took %v to stop", p.name, took)
-		}
-		r.restartGateway(ctx, i)
-	})
-	time.Sleep(gracePeriod)
-}
-
-// setSingleMode sets the mode of all targets of the routes to a single service.
-func (r *runner) setSingleMode(m targetMode) {
-	for _, t := range r.cluster.singleTargets() {
-		t.setMode(m)
-	}
-}
-
 // reloadAll makes all processes reload their settings.
 func (r *runner) reloadAll(context.Context, time.Duration) {
 	r.printf("hang up on all")
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -37,8 +37,14 @@
 	targetLong: 1500 * time.Millisecond,
 }
 
-// singleTargets returns the targets of the routes to a single service.
-func (c *cluster) singleTargets() []*standinTarget { return c.targets[c.cfg.Shards*replicas:] }
+// targetsOf returns the targets of service i (see serviceName).
+func (c *cluster) targetsOf(i int) []*standinTarget { return c.targets[i*replicas : (i+1)*replicas] }
+
+func setModes(targets []*standinTarget, m targetMode) {
+	for _, t := range targets {
+		t.setMode(m)
+	}
+}
 
 // standinTarget is an HTTP server behind a proxy that stands in for a target and
 // records what it ran in a ledger.
@@ -217,6 +223,10 @@
 	return fmt.Sprintf("%-16.16s%-16.16s", service+id, id+service)
 }
 
+// topK is the number of records in an answer to a request to all shards: as many as the
+// greater one of each shard, so that a part that counts twice shows whosever it is.
+func (c *cluster) topK() int { return c.cfg.Shards }
+
 // targetList stands in for the platform's list of targets.
 type targetList struct {
 	mu      sync.Mutex
