Close a soak that couldn't start all members

Cause: found on reading the change: a member whose address is in use left members without a process, and the end of the soak panicked on them.

Ruled out: preparing members before they get a place; their settings name all.

Measured: vet and lint only; the path needs an address that is in use.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -254,7 +254,9 @@
 		}
 	}
 	for _, m := range c.members {
-		m.proxy.close()
+		if m.proxy != nil {
+			m.proxy.close()
+		}
 	}
 	for _, t := range c.targets {
 		t.close()
--- a/internal/soak/members.go
+++ b/internal/soak/members.go
@@ -10,7 +10,8 @@
 type member struct {
 	// number counts the VMs that ever had a place. The VM's name, address and files
 	// follow from it.
-	number  int
+	number int
+	// process and proxy are nil until the member is prepared.
 	process *process
 	proxy   *proxy
 }
@@ -28,7 +29,9 @@
 	defer c.mu.Unlock()
 	out := slices.Concat(c.replaced, c.gateways)
 	for _, m := range c.members {
-		out = append(out, m.process)
+		if m.process != nil {
+			out = append(out, m.process)
+		}
 	}
 	return out
 }
@@ -94,7 +97,7 @@
 	old.proxy.close()
 	c.mu.Lock()
 	c.replaced = append(c.replaced, old.process)
-	c.members[place] = member{number: controls + len(c.replaced) - 1, process: old.process, proxy: old.proxy}
+	c.members[place].number = controls + len(c.replaced) - 1
 	c.mu.Unlock()
 	if err := c.prepareMember(place, false); err != nil {
 		return err
