--- /dev/null
+++ b/review/standin-2/scenarios.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// newMisses returns the counts of a balancer that knows no gateway to be ready yet.
+func newMisses(n int) []atomic.Int32 {
+	out := make([]atomic.Int32, n)
+	for i := range out {
+		out[i].Store(2)
+	}
+	return out
+}
+
+// restartOrder is the order in which replicas start again. The first one does so twice:
+// while all three are there, few requests from other zones reach it.
+var restartOrder = []int{0, 1, 2, 0}
+
+const (
+	// restartGap is how long a replica is down when it starts again in its place.
+	restartGap = 300 * time.Millisecond
+	// drainExtra is how much longer than the drain time a replica that leaves serves.
+	drainExtra = 500 * time.Millisecond
+	// shortCold is how long such a replica is cold after its start.
+	shortCold = 600 * time.Millisecond
+	// configApply is the time after which an acknowledged configuration is obeyed.
+	configApply = 3 * time.Second
+)
+
+// restartInPlace lets the replicas of one service start again under their ids, one after
+// the other: each drains, ends, and comes back. The route to that service was added later
+// than the one to the other service. The rule is broken if, in steady state afterwards, the
+// requests on the later route are served less than a quarter as often as those on the first.
+func restartInPlace(ctx context.Context, d *deployment) (bool, error) {
+	p := plan{services: []string{"reader", "desk"}, gateways: 2, replicas: 3, work: 60 * time.Millisecond, lag: 700 * time.Millisecond, firstRoutes: 1}
+	if err := d.begin(ctx, p); err != nil {
+		return false, err
+	}
+	first := &kind{name: "reader", path: "/reader/", perSecond: 60, clients: 24, deadline: 2 * time.Second}
+	later := &kind{name: "desk", path: "/desk/", perSecond: 45, clients: 24, deadline: 2 * time.Second}
+	if err := d.op.order("PUT", "/peridotmux/config", configuration(2, p.specs(), len(p.services)), 5*time.Second); err != nil {
+		return false, err
+	}
+	d.rec.say("the route to desk is acknowledged")
+	if err := pause(ctx, configApply); err != nil {
+		return false, err
+	}
+	l := &load{c: d.cluster, rec: d.rec, b: d.balancer, kinds: []*kind{first, later}}
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	done := make(chan struct{})
+	go func() { l.run(loadCtx); close(done) }()
+	if err := pause(ctx, 2*time.Second); err != nil {
+		return false, err
+	}
+	for _, i := range restartOrder {
+		if !d.trouble {
+			break
+		}
+		if err := d.restart(ctx, d.replicas["desk"][i]); err != nil {
+			return false, err
+		}
+	}
+	d.rec.say("all replicas of desk are ready and warm")
+	// The lag of the list, contactMs and all time-outs of the pages are shorter.
+	if err := pause(ctx, 10*time.Second); err != nil {
+		return false, err
+	}
+	first.mark.Store(true)
+	later.mark.Store(true)
+	if err := pause(ctx, 20*time.Second); err != nil {
+		return false, err
+	}
+	endLoad()
+	<-done
+	d.rec.say("over all: reader %d of %d requests served, desk %d of %d", first.served.Load(), first.sent.Load(), later.served.Load(), later.sent.Load())
+	d.rec.say("in steady state, 10 s after the last restart: reader %d of %d, desk %d of %d", first.lateServed.Load(), first.lateSent.Load(),
+		later.lateServed.Load(), later.lateSent.Load())
+	share := func(k *kind) float64 { return float64(k.lateServed.Load()) / float64(k.lateSent.Load()) }
+	return later.lateSent.Load() >= 20 && share(later) < share(first)/4, nil
+}
+
+// restart lets a replica leave, end and start again under its id and address.
+func (d *deployment) restart(ctx context.Context, r *replica) error {
+	r.leave()
+	if err := pause(ctx, drainTime+drainExtra); err != nil {
+		return err
+	}
+	r.end()
+	if err := pause(ctx, restartGap); err != nil {
+		return err
+	}
+	if err := r.start(shortCold); err != nil {
+		return err
+	}
+	return pause(ctx, 2*shortCold)
+}
+
+// coldVerdict reports whether a cold replica got more requests in a second than the rule
+// allows.
+func (d *deployment) coldVerdict() bool {
+	failed := false
+	for _, list := range d.replicas {
+		for _, r := range list {
+			n := r.mostColdPerSecond()
+			if n > 0 {
+				d.rec.say("replica %s got %d requests in one second while it was cold, %d are allowed", r.id, n, coldLimit)
+			}
+			failed = failed || n > coldLimit
+		}
+	}
+	return failed
+}
+
+// returnAtRestart brings an evacuated zone back whose replicas have just become cold, while
+// a gateway of the zone is killed and starts again.
+func returnAtRestart(ctx context.Context, d *deployment) (bool, error) {
+	if err := d.begin(ctx, plan{services: []string{"desk"}, gateways: 2, replicas: 3, work: 10 * time.Millisecond, lag: 700 * time.Millisecond}); err != nil {
+		return false, err
+	}
+	desk := &kind{name: "desk", path: "/desk/", perSecond: 80, clients: 8, deadline: 2 * time.Second}
+	l := &load{c: d.cluster, rec: d.rec, b: d.balancer, kinds: []*kind{desk}}
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	done := make(chan struct{})
+	go func() { l.run(loadCtx); close(done) }()
+	if err := pause(ctx, 3*time.Second); err != nil {
+		return false, err
+	}
+	if err := d.op.order("POST", "/peridotmux/evacuation/zone-a", nil, 5*time.Second); err != nil {
+		return false, err
+	}
+	d.rec.say("the evacuation of zone-a is acknowledged")
+	if err := pause(ctx, 6*time.Second); err != nil {
+		return false, err
+	}
+	if d.trouble {
+		d.rec.say("frontend-0 in zone-a is killed")
+		d.gateways[0].kill()
+	}
+	if err := pause(ctx, 200*time.Millisecond); err != nil {
+		return false, err
+	}
+	d.replicas["desk"][0].chill(coldStart)
+	if err := d.op.order("DELETE", "/peridotmux/evacuation/zone-a", nil, 5*time.Second); err != nil {
+		return false, err
+	}
+	d.rec.say("the return of zone-a is acknowledged")
+	if d.trouble {
+		if err := pause(ctx, 200*time.Millisecond); err != nil {
+			return false, err
+		}
+		if err := d.gateways[0].start(); err != nil {
+			return false, err
+		}
+		d.rec.say("frontend-0 is started again")
+	}
+	if err := pause(ctx, 8*time.Second); err != nil {
+		return false, err
+	}
+	endLoad()
+	<-done
+	d.rec.say("%d of %d requests served", desk.served.Load(), desk.sent.Load())
+	return d.coldVerdict(), nil
+}
+
+// coldAgain adds a replica to each service, which is cold as any replica that starts, and
+// becomes cold again a moment later.
+func coldAgain(ctx context.Context, d *deployment) (bool, error) {
+	services := []string{"desk", "reader", "mailer"}
+	p := plan{services: services, gateways: 2, replicas: 4, added: 1, work: 10 * time.Millisecond, lag: 100 * time.Millisecond}
+	if err := d.begin(ctx, p); err != nil {
+		return false, err
+	}
+	l := &load{c: d.cluster, rec: d.rec, b: d.balancer}
+	for _, name := range services {
+		l.kinds = append(l.kinds, &kind{name: name, path: "/" + name + "/", perSecond: 80, clients: 8, deadline: 2 * time.Second})
+	}
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	done := make(chan struct{})
+	go func() { l.run(loadCtx); close(done) }()
+	if err := pause(ctx, 2*time.Second); err != nil {
+		return false, err
+	}
+	for _, name := range services {
+		if err := pause(ctx, addGap); err != nil {
+			return false, err
+		}
+		r := d.replicas[name][p.replicas]
+		if err := r.start(coldStart); err != nil {
+			return false, err
+		}
+		if d.trouble {
+			time.AfterFunc(coldAgainAfter, func() { r.chill(coldStart) })
+		}
+	}
+	if err := pause(ctx, 7*time.Second); err != nil {
+		return false, err
+	}
+	endLoad()
+	<-done
+	for _, k := range l.kinds {
+		d.rec.say("%s: %d of %d requests served", k.name, k.served.Load(), k.sent.Load())
+	}
+	return d.coldVerdict(), nil
+}
+
+const (
+	// addGap is the time between two replicas that are added.
+	addGap = 400 * time.Millisecond
+	// coldAgainAfter is how long after its start a replica becomes cold again. It then
+	// stays cold, and says so in the list, for coldStart.
+	coldAgainAfter = 900 * time.Millisecond
+)
