--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,6 +31,7 @@
 	"restart-in-place":  restartInPlace,
 	"return-at-restart": returnAtRestart,
 	"cold-again":        coldAgain,
+	"quick-restart":     quickRestart,
 }
 
 // deployment is a running system with its stand-ins.
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -147,7 +147,7 @@
 	r.mu.Unlock()
 	r.rec.line("run id=%s replica=%s cold=%v", id, r.id, cold)
 	slots <- struct{}{}
-	time.Sleep(r.work)
+	time.Sleep(r.workTime(cold))
 	<-slots
 	w.Header().Set("X-Server-Stamp", r.id+"."+id)
 	w.Header().Set("X-Server-Load", r.endWork())
@@ -177,6 +177,17 @@
 	return most
 }
 
+// slowFactor is how much longer a replica takes that has just started.
+const slowFactor = 10
+
+// workTime returns how long a request takes.
+func (r *replica) workTime(cold bool) time.Duration {
+	if cold {
+		return slowFactor * r.work
+	}
+	return r.work
+}
+
 // coldWithin returns the requests that arrived in the second before now while the replica
 // was cold. r.mu must be held.
 func (r *replica) coldWithin(now time.Time) int {
--- a/review/standin-2/scenarios.go
+++ b/review/standin-2/scenarios.go
@@ -216,3 +216,51 @@
 	// stays cold, and says so in the list, for coldStart.
 	coldAgainAfter = 900 * time.Millisecond
 )
+
+// quickRestart crashes one replica of each service, which starts again at once under its id.
+func quickRestart(ctx context.Context, d *deployment) (bool, error) {
+	services := []string{"desk", "reader", "mailer"}
+	p := plan{services: services, gateways: 8, replicas: 7, work: 20 * time.Millisecond, lag: 700 * time.Millisecond}
+	if err := d.begin(ctx, p); err != nil {
+		return false, err
+	}
+	l := &load{c: d.cluster, rec: d.rec, b: d.balancer}
+	for _, name := range services {
+		l.kinds = append(l.kinds, &kind{name: name, path: "/" + name + "/", perSecond: 120, clients: 24, deadline: 2 * time.Second})
+	}
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	done := make(chan struct{})
+	go func() { l.run(loadCtx); close(done) }()
+	if err := pause(ctx, 4*time.Second); err != nil {
+		return false, err
+	}
+	for _, name := range services {
+		if err := pause(ctx, time.Second); err != nil {
+			return false, err
+		}
+		if !d.trouble {
+			continue
+		}
+		r := d.replicas[name][0]
+		r.end()
+		if err := pause(ctx, crashGap); err != nil {
+			return false, err
+		}
+		if err := r.start(coldStart); err != nil {
+			return false, err
+		}
+	}
+	if err := pause(ctx, 5*time.Second); err != nil {
+		return false, err
+	}
+	endLoad()
+	<-done
+	for _, k := range l.kinds {
+		d.rec.say("%s: %d of %d requests served", k.name, k.served.Load(), k.sent.Load())
+	}
+	return d.coldVerdict(), nil
+}
+
+// crashGap is how long a replica that crashed is down.
+const crashGap = 100 * time.Millisecond
