--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -32,6 +32,7 @@
 	"return-at-restart": returnAtRestart,
 	"cold-again":        coldAgain,
 	"quick-restart":     quickRestart,
+	"unnamed-service":   unnamedService,
 }
 
 // deployment is a running system with its stand-ins.
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,7 +34,9 @@
 	mu       sync.Mutex
 	replicas []*replica
 	history  []snapshot
-	server   *http.Server
+	// odd are entries of another writer. They stand behind the others.
+	odd    []entry
+	server *http.Server
 }
 
 // newPlatform serves the list at addr until close.
@@ -82,7 +85,7 @@
 	p.mu.Unlock()
 	zone := r.URL.Query().Get("zone")
 	out := []entry{}
-	for _, e := range entries {
+	for _, e := range slices.Concat(entries, p.oddEntries()) {
 		if zone == "" || e.Zone == zone {
 			out = append(out, e)
 		}
@@ -90,3 +93,16 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": out, "nextToken": nil})
 }
+
+// setOdd sets the entries of another writer.
+func (p *platform) setOdd(odd []entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.odd = odd
+}
+
+func (p *platform) oddEntries() []entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.odd
+}
--- a/review/standin-2/processes.go
+++ b/review/standin-2/processes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -98,14 +99,23 @@
 		}
 		port := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
-		any, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
+		if n.isFree(port) {
+			return port, nil
+		}
+	}
+	return 0, errors.New("no free port")
+}
+
+// isFree reports whether a port is free on all addresses.
+func (n *network) isFree(port int) bool {
+	for i := firstMember; i < lastPlace; i++ {
+		l, err := net.Listen("tcp", n.addr(i, port))
 		if err != nil {
-			continue
+			return false
 		}
-		_ = any.Close()
-		return port, nil
+		_ = l.Close()
 	}
-	return 0, fmt.Errorf("no free port")
+	return true
 }
 
 func (n *network) ip(i int) string { return fmt.Sprintf("127.%d.%d.%d", n.second, n.third, i) }
@@ -118,6 +128,7 @@
 	firstGateway = 31
 	listPlace    = 51
 	firstTarget  = 61
+	lastPlace    = 100
 )
 
 // zones are the data centres of the deployment.
--- a/review/standin-2/scenarios.go
+++ b/review/standin-2/scenarios.go
@@ -30,30 +30,85 @@
 	configApply = 3 * time.Second
 )
 
-// restartInPlace lets the replicas of one service start again under their ids, one after
-// the other: each drains, ends, and comes back. The route to that service was added later
-// than the one to the other service. The rule is broken if, in steady state afterwards, the
-// requests on the later route are served less than a quarter as often as those on the first.
-func restartInPlace(ctx context.Context, d *deployment) (bool, error) {
+// twoRoutes is a deployment with two services, the route to one of which is added later,
+// and its load.
+type twoRoutes struct {
+	first, later *kind
+	endLoad      func()
+}
+
+// beginTwoRoutes starts the deployment and the load.
+func (d *deployment) beginTwoRoutes(ctx context.Context) (*twoRoutes, error) {
 	p := plan{services: []string{"reader", "desk"}, gateways: 2, replicas: 3, work: 60 * time.Millisecond, lag: 700 * time.Millisecond, firstRoutes: 1}
 	if err := d.begin(ctx, p); err != nil {
-		return false, err
+		return nil, err
+	}
+	x := &twoRoutes{
+		first: &kind{name: "reader", path: "/reader/", perSecond: 60, clients: 24, deadline: 2 * time.Second},
+		later: &kind{name: "desk", path: "/desk/", perSecond: 45, clients: 24, deadline: 2 * time.Second},
 	}
-	first := &kind{name: "reader", path: "/reader/", perSecond: 60, clients: 24, deadline: 2 * time.Second}
-	later := &kind{name: "desk", path: "/desk/", perSecond: 45, clients: 24, deadline: 2 * time.Second}
 	if err := d.op.order("PUT", "/peridotmux/config", configuration(2, p.specs(), len(p.services)), 5*time.Second); err != nil {
-		return false, err
+		return nil, err
 	}
 	d.rec.say("the route to desk is acknowledged")
 	if err := pause(ctx, configApply); err != nil {
-		return false, err
+		return nil, err
 	}
-	l := &load{c: d.cluster, rec: d.rec, b: d.balancer, kinds: []*kind{first, later}}
-	loadCtx, endLoad := context.WithCancel(ctx)
-	defer endLoad()
+	l := &load{c: d.cluster, rec: d.rec, b: d.balancer, kinds: []*kind{x.first, x.later}}
+	loadCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() { l.run(loadCtx); close(done) }()
-	if err := pause(ctx, 2*time.Second); err != nil {
+	x.endLoad = func() { cancel(); <-done }
+	return x, pause(ctx, 2*time.Second)
+}
+
+// verdict plays the steady state and reports whether the requests on the later route are
+// served less than a quarter as often as those on the first.
+func (x *twoRoutes) verdict(ctx context.Context, d *deployment) (bool, error) {
+	x.first.mark.Store(true)
+	x.later.mark.Store(true)
+	if err := pause(ctx, 20*time.Second); err != nil {
+		return false, err
+	}
+	x.endLoad()
+	first, later := x.first, x.later
+	d.rec.say("over all: reader %d of %d requests served, desk %d of %d", first.served.Load(), first.sent.Load(), later.served.Load(), later.sent.Load())
+	d.rec.say("in steady state: reader %d of %d, desk %d of %d", first.lateServed.Load(), first.lateSent.Load(), later.lateServed.Load(), later.lateSent.Load())
+	share := func(k *kind) float64 { return float64(k.lateServed.Load()) / float64(k.lateSent.Load()) }
+	return later.lateSent.Load() >= 20 && share(later) < share(first)/4, nil
+}
+
+// unnamedService lets another writer leave entries in the list, which name the replicas of
+// one service under a service that no configuration names. The rule is that of
+// restartInPlace.
+func unnamedService(ctx context.Context, d *deployment) (bool, error) {
+	x, err := d.beginTwoRoutes(ctx)
+	if err != nil {
+		return false, err
+	}
+	if d.trouble {
+		var odd []entry
+		for _, r := range d.replicas["desk"] {
+			e, _ := r.entry(time.Now())
+			e.Service = "elsewhere"
+			odd = append(odd, e)
+		}
+		d.platform.setOdd(odd)
+		d.rec.say("another writer leaves %d entries of a service that isn't named", len(odd))
+	}
+	if err := pause(ctx, 5*time.Second); err != nil {
+		return false, err
+	}
+	return x.verdict(ctx, d)
+}
+
+// restartInPlace lets the replicas of one service start again under their ids, one after
+// the other: each drains, ends, and comes back. The route to that service was added later
+// than the one to the other service. The rule is broken if, in steady state afterwards, the
+// requests on the later route are served less than a quarter as often as those on the first.
+func restartInPlace(ctx context.Context, d *deployment) (bool, error) {
+	x, err := d.beginTwoRoutes(ctx)
+	if err != nil {
 		return false, err
 	}
 	for _, i := range restartOrder {
@@ -69,18 +124,7 @@
 	if err := pause(ctx, 10*time.Second); err != nil {
 		return false, err
 	}
-	first.mark.Store(true)
-	later.mark.Store(true)
-	if err := pause(ctx, 20*time.Second); err != nil {
-		return false, err
-	}
-	endLoad()
-	<-done
-	d.rec.say("over all: reader %d of %d requests served, desk %d of %d", first.served.Load(), first.sent.Load(), later.served.Load(), later.sent.Load())
-	d.rec.say("in steady state, 10 s after the last restart: reader %d of %d, desk %d of %d", first.lateServed.Load(), first.lateSent.Load(),
-		later.lateServed.Load(), later.lateSent.Load())
-	share := func(k *kind) float64 { return float64(k.lateServed.Load()) / float64(k.lateSent.Load()) }
-	return later.lateSent.Load() >= 20 && share(later) < share(first)/4, nil
+	return x.verdict(ctx, d)
 }
 
 // restart lets a replica leave, end and start again under its id and address.
