--- a/review/standin-2/scenarios.go
+++ b/review/standin-2/scenarios.go
@@ -15,9 +15,10 @@
 	return out
 }
 
-// restartOrder is the order in which replicas start again. The first one does so twice:
-// while all three are there, few requests from other zones reach it.
-var restartOrder = []int{0, 1, 2, 0}
+// restartOrder is the order in which replicas start again: one after the other, twice. In
+// the first round a gateway may not hear of each one, since few requests from other zones
+// reach a replica while all are there.
+var restartOrder = []int{0, 1, 2, 0, 1, 2}
 
 const (
 	// restartGap is how long a replica is down when it starts again in its place.
