forward: show the rate limits that targets name

Nothing told which limit a gateway knew of a target, or how many requests went there meanwhile, so that a limit that isn't read, one that each gateway keeps for itself, and bursts of retries looked alike.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -110,6 +110,8 @@
 	leaving bool
 	// backOffUntil is until when the target wants no requests from this router.
 	backOffUntil time.Time
+	// limit is the rate limit in the target's latest response.
+	limit targetLimit
 }
 
 // selection is the choice of a target for one attempt, with the data that it was
@@ -125,6 +127,8 @@
 	reportedSlowness float64
 	// hedge means that the attempt is a hedge.
 	hedge bool
+	// limited means that the target had a rate limit when it was chosen.
+	limited bool
 	// rollout identifies the counts of a rollout that the attempt adds to.
 	rollout rolloutCount
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -105,6 +105,9 @@
 
 func (s *sendState) withdrawn() bool { return s.state.Load() == sendWithdrawn }
 
+// sent reports whether the attempt was sent.
+func (s *sendState) sent() bool { return s.state.Load() == sendDone }
+
 // neverSent reports whether the attempt will never reach its target.
 func (s *sendState) neverSent() bool { return s.state.Load() >= sendWithdrawn }
 
@@ -202,6 +205,7 @@
 		unacked:      c.server.unacked,
 		mayStillSend: func() bool { return c.server.maySend(sel.backend, time.Now()) },
 		onBadBackOff: c.server.cfg.Metrics.BadBackOff,
+		onBadLimit:   c.server.cfg.Metrics.BadLimit,
 		onSilent:     func() { c.reportSilence(shard, sel.backend, now, results) },
 	}
 	c.server.workers.run(func() {
@@ -244,8 +248,9 @@
 // recordEnd records the outcome of an attempt.
 func (c *call) recordEnd(sel *selection, r *result) {
 	out := &r.outcome
-	if c.server.fleet.finish(sel, out, r.endedAt) {
-		c.server.cfg.Log.Info(msgLeaving, "target", string(sel.backend.id), "service", string(c.service))
+	c.server.logNotices(sel.backend, out, c.server.fleet.finish(sel, out, r.endedAt))
+	if sel.limited && r.sendState.sent() {
+		c.server.cfg.Metrics.SentToLimited(string(c.service))
 	}
 	c.server.countFigure(sel.backend, &out.Load)
 	c.server.observe(c, sel, out)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -96,6 +96,8 @@
 	// it wants no requests from this router, 0 if it didn't say.
 	Leaving bool
 	BackOff time.Duration
+	// Limit is the target's rate limit.
+	Limit targetLimit
 	// WrongTarget means that another target answered at the address.
 	WrongTarget bool
 	// Cause is the failure, nil if there is a valid response.
@@ -139,6 +141,8 @@
 	unacked func(*connpool.Conn) bool
 	// onBadBackOff is called if the target's back-off time is malformed or too long.
 	onBadBackOff func()
+	// onBadLimit is called if the target's rate limit is malformed.
+	onBadLimit func()
 	// onSilent is called if it hasn't within ackTime.
 	onSilent func()
 }
@@ -324,6 +328,9 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		out.BackOff = a.backOff(h)
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		out.Limit = a.rateLimit(h)
+	}
 	switch {
 	case h.Get(a.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
 		out.Verdict = NotRun
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -214,6 +214,7 @@
 		best.backend.probeAt = now.Add(f.probeInterval(best.backend.service))
 	}
 	best.hedge = crit.hedge
+	best.limited = best.backend.limit.notice == limitStated
 	best.rollout = f.rollouts.sent(&version, best.backend, crit.route)
 	best.backend.inFlight[best] = now
 	best.backend.neededAt = now
@@ -286,18 +287,24 @@
 	return false
 }
 
-// finish records the outcome of an attempt. It reports whether the target said in it for
-// the first time that it is about to stop.
-func (f *fleet) finish(sel *selection, o *Outcome, now time.Time) (leaves bool) {
+// notices are what a target said of itself in a response for the first time.
+type notices struct {
+	// leaves means that it is about to stop, and limitChanged that its rate limit begins,
+	// ends or changes by much.
+	leaves, limitChanged bool
+}
+
+// finish records the outcome of an attempt and returns what the target said in it.
+func (f *fleet) finish(sel *selection, o *Outcome, now time.Time) notices {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	leaves = o.Leaving && !sel.backend.leaving
+	n := notices{leaves: o.Leaving && !sel.backend.leaving, limitChanged: sel.backend.applyLimit(o.Limit)}
 	delete(sel.backend.inFlight, sel)
 	sel.backend.recordOutcome(o, sel.median, now)
 	f.collector.Add(sel.backend.incarnation(), sel.outlierCounts(o))
 	f.rollouts.add(sel.rollout, sel.rolloutCounts(o))
 	f.learn(sel, o, now)
-	return leaves
+	return n
 }
 
 // countUsable returns the number of services that have a usable target.
--- a/forward/headers.go
+++ b/forward/headers.go
@@ -29,6 +29,9 @@
 	ColdLeftMS string
 	// Leaving is "1" in the responses of a target that is about to stop.
 	Leaving string
+	// RateLimit carries the requests per second that a target takes from all routers
+	// together, in its responses for as long as it needs that.
+	RateLimit string
 	// Key carries the key of the caller's workspace. It is never passed on.
 	Key string
 	// Workspace carries the name of the workspace to targets.
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -28,7 +28,7 @@
 var testHeaders = HeaderNames{
 	RequestID: "Req-Id", TimeLeftMS: "Left-Ms", Signature: "Sig", ExpectTarget: "For-Target", Load: "Load",
 	NotRun: "Not-Run", RetryAfter: "Retry-After", PartSignatures: "Parts", MissingParts: "Missing", TargetID: "Target", ColdLeftMS: "Cold-Ms",
-	Leaving: "Leaving", Key: "Key", Workspace: "Workspace",
+	Leaving: "Leaving", RateLimit: "Limit", Key: "Key", Workspace: "Workspace",
 }
 
 // fakeTarget is a target whose responses a test writes byte by byte.
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -12,8 +12,8 @@
 	"github.com/peridotmux/peridotmux/route"
 )
 
-// The messages of log lines about requests. All but msgSuppressed and
-// msgLeaving have the attribute "request".
+// The messages of log lines about requests. All but msgSuppressed and those about targets
+// have the attribute "request".
 const (
 	msgTargetChosen = "target chosen"
 	msgAttemptEnded = "attempt ended"
@@ -27,8 +27,10 @@
 	msgResumed      = "request held after a pause"
 	msgSuppressed   = "request lines left out"
 
-	// msgLeaving has no request: it is about a target.
-	msgLeaving = "target is leaving"
+	// About targets.
+	msgLeaving   = "target is leaving"
+	msgLimited   = "target limits its requests"
+	msgUnlimited = "target no longer limits its requests"
 
 	// Of requests whose shards other routers ask.
 	msgHandedOver    = "shards handed over"
--- a/telemetry/forward.go
+++ b/telemetry/forward.go
@@ -21,6 +21,8 @@
 	backOffs metric.Int64Counter
 	figures  metric.Int64Counter
 	leftOut  metric.Int64Counter
+	limited  metric.Int64Counter
+	limits   metric.Int64Counter
 	// series caches the attribute set of each series of attempts.
 	series sync.Map // of attemptSeries to metric.MeasurementOption
 }
@@ -41,6 +43,8 @@
 		backOffs: b.counter("peridotmux_forward_bad_back_offs", "1", "Back-off times of targets that were malformed or too long."),
 		figures:  b.counter("peridotmux_forward_odd_figures", "1", "Load reports whose figure is absent, malformed or out of range, by fault."),
 		leftOut:  b.counter("peridotmux_forward_left_out", "1", "Shards that queries left out from the start since they were scarce, by route."),
+		limited:  b.counter("peridotmux_forward_limited_attempts", "1", "Attempts at targets with a rate limit, by service."),
+		limits:   b.counter("peridotmux_forward_bad_limits", "1", "Rate limits of targets that were malformed."),
 		attempts: b.histogram("peridotmux_forward_attempt_seconds", "s", "Time of attempts at targets, by service and outcome.", forwardBounds),
 	}
 }
@@ -85,6 +89,20 @@
 	}
 }
 
+// SentToLimited records an attempt at a target with a rate limit.
+func (f *Forward) SentToLimited(service string) {
+	if f.limited != nil {
+		f.limited.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+	}
+}
+
+// BadLimit records that a target's rate limit was malformed.
+func (f *Forward) BadLimit() {
+	if f.limits != nil {
+		f.limits.Add(context.Background(), 1)
+	}
+}
+
 // OddFigure records a load report whose figure is absent or absurd.
 func (f *Forward) OddFigure(fault string) {
 	if f.figures != nil {
