forward: show which requests lose their targets

A repeat of a request has a new id, so that logs couldn't tell one request that crashes many targets from many requests beside crashes, nor which kind of attempt reached them. Gateways now log a fingerprint (caller, method, host, path, query, body) of each request that lost attempts with their targets, and count these by kind.

--- a/forward/call.go
+++ b/forward/call.go
@@ -26,6 +26,7 @@
 	backend   *backend
 	outcome   Outcome
 	hedge     bool
+	kind      attemptKind
 	endedAt   time.Time
 	sendState *sendState
 	// silent means that the attempt is still in flight and its target's host hasn't
@@ -198,6 +199,7 @@
 	c.tried = append(c.tried, sel.backend)
 	c.inFlight++
 	s := &sendState{}
+	kind := kindOf(len(c.sendStates), hedge)
 	c.sendStates = append(c.sendStates, s)
 	a := &attempt{
 		headers: &c.server.cfg.Headers, pool: sel.backend.pool, targetID: id,
@@ -209,7 +211,7 @@
 		onSilent:     func() { c.reportSilence(shard, sel.backend, now, results) },
 	}
 	c.server.workers.run(func() {
-		r := &result{shard: shard, backend: sel.backend, hedge: hedge, sendState: s, outcome: a.run(ctx)}
+		r := &result{shard: shard, backend: sel.backend, hedge: hedge, kind: kind, sendState: s, outcome: a.run(ctx)}
 		r.endedAt = time.Now()
 		c.recordEnd(sel, r)
 		results <- r
@@ -248,6 +250,10 @@
 // recordEnd records the outcome of an attempt.
 func (c *call) recordEnd(sel *selection, r *result) {
 	out := &r.outcome
+	if out.targetLost() {
+		c.req.lost.add(r.kind)
+		c.server.cfg.Metrics.TargetLost(string(c.service), string(r.kind))
+	}
 	c.server.logNotices(sel.backend, out, c.server.fleet.finish(sel, out, r.endedAt))
 	if sel.limited && r.sendState.sent() {
 		c.server.cfg.Metrics.SentToLimited(string(c.service))
--- a/forward/refuse.go
+++ b/forward/refuse.go
@@ -87,6 +87,7 @@
 	if req == nil {
 		req = &request{id: r.Header.Get(s.cfg.Headers.RequestID), received: time.Now()}
 	}
+	s.logLostRuns(req)
 	decisions := req.trace.close()
 	if !s.requestLog.shouldLog(req.id, true) {
 		return
--- a/forward/request.go
+++ b/forward/request.go
@@ -34,6 +34,8 @@
 	// the configuration has none.
 	workspace *workspace.Workspace
 	trace     requestTrace
+	// lost counts the attempts that were lost with their targets.
+	lost lostRuns
 	// bodies is the memory of the targets' responses until the answer is written.
 	bodies response.Hold
 	// release ends the request's place among the pipelined ones. It may be nil.
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -26,6 +26,7 @@
 	msgGivenUp      = "request given up"
 	msgResumed      = "request held after a pause"
 	msgSuppressed   = "request lines left out"
+	msgTargetsLost  = "targets lost under a request"
 
 	// About targets.
 	msgLeaving   = "target is leaving"
--- a/forward/serverlog.go
+++ b/forward/serverlog.go
@@ -15,6 +15,7 @@
 	s.cfg.Metrics.Answered(string(req.route.Name), after, missing)
 	late := after > req.route.Objective
 	problem := late || missing > 0 || (got != nil && !got.outcome.Success())
+	s.logLostRuns(req)
 	decisions := req.trace.close()
 	if !s.requestLog.shouldLog(req.id, problem) {
 		return
@@ -51,6 +52,7 @@
 // response.
 func (s *Server) logCallerLeft(req *request) {
 	s.cfg.Metrics.Refused(string(reasonCallerLeft))
+	s.logLostRuns(req)
 	decisions := req.trace.close()
 	if !s.requestLog.shouldLog(req.id, true) {
 		return
@@ -62,6 +64,7 @@
 // logPartsServed logs the shards that this router asked for another one, entry.
 func (s *Server) logPartsServed(req *request, g *gathering, entry string, repeat bool) {
 	after := time.Since(req.received)
+	s.logLostRuns(req)
 	decisions := req.trace.close()
 	if !s.requestLog.shouldLog(req.id, after > req.route.Objective || g.missing() > 0) {
 		return
--- a/telemetry/forward.go
+++ b/telemetry/forward.go
@@ -23,6 +23,7 @@
 	leftOut  metric.Int64Counter
 	limited  metric.Int64Counter
 	limits   metric.Int64Counter
+	lost     metric.Int64Counter
 	// series caches the attribute set of each series of attempts.
 	series sync.Map // of attemptSeries to metric.MeasurementOption
 }
@@ -45,6 +46,7 @@
 		leftOut:  b.counter("peridotmux_forward_left_out", "1", "Shards that queries left out from the start since they were scarce, by route."),
 		limited:  b.counter("peridotmux_forward_limited_attempts", "1", "Attempts at targets with a rate limit, by service."),
 		limits:   b.counter("peridotmux_forward_bad_limits", "1", "Rate limits of targets that were malformed."),
+		lost:     b.counter("peridotmux_forward_lost_targets", "1", "Attempts whose target closed the connection before its answer, by service and kind."),
 		attempts: b.histogram("peridotmux_forward_attempt_seconds", "s", "Time of attempts at targets, by service and outcome.", forwardBounds),
 	}
 }
@@ -103,6 +105,14 @@
 	}
 }
 
+// TargetLost records an attempt whose target closed the connection before its answer.
+// kind says whether it was the first one, a hedge or a retry.
+func (f *Forward) TargetLost(service, kind string) {
+	if f.lost != nil {
+		f.lost.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("kind", kind)))
+	}
+}
+
 // OddFigure records a load report whose figure is absent or absurd.
 func (f *Forward) OddFigure(fault string) {
 	if f.figures != nil {
