quarantine: stop requests that crash the targets that run them

Cause: an attempt is judged by its own id, so that repeats of one request went to target after target; and a gather whose every shard is late was hedged at every shard before the first crash. Ruled out by the logs before: that other requests' retries carry it on; 55 other fingerprints lost 82 attempts, once each.

Requests are known by a fingerprint. Two lost targets without an answer make a suspect, which runs at one target as a canary; a lost canary quarantines it. Gateways share this at once through control's leader. Gathers of three shards or more neither hedge nor retry after a loss before the first part.

Failed before: TestRequestThatCrashesTargetsIsStopped (20 of 3 targets), TestGatherThatCrashesTargetsIsStopped (40 of 6), TestNoHedgesBeforeTheFirstPart (8 of 4). TestFailedRequestIsLoggedInFull lists the new line besides all it listed before.

--- a/control/daemon/self_forming.go
+++ b/control/daemon/self_forming.go
@@ -31,6 +31,7 @@
 	"github.com/peridotmux/peridotmux/discovery"
 	"github.com/peridotmux/peridotmux/internal/wait"
 	"github.com/peridotmux/peridotmux/outlier"
+	"github.com/peridotmux/peridotmux/quarantine"
 	"github.com/peridotmux/peridotmux/quota"
 	"github.com/peridotmux/peridotmux/ratelimit"
 	"github.com/peridotmux/peridotmux/rollout/report"
@@ -112,7 +113,7 @@
 		Self:       string(s.VM.Name),
 		IsLeader:   func() bool { return m.group.Leadership().Leads },
 		LeaderAddr: func() []netip.AddrPort { return otherLeader(m.group) },
-		Topics:     []outlier.HubTopic{m.rollouts, newLearning(m.inventory, m.log), m.admission(), ratelimit.NewHub()},
+		Topics:     []outlier.HubTopic{m.rollouts, newLearning(m.inventory, m.log), m.admission(), ratelimit.NewHub(), quarantine.NewHub(m.log)},
 		Log:        m.log,
 	})
 	m.quotas = m.newQuotas()
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -77,12 +77,14 @@
 	}
 }
 
-// without returns the shards that the query doesn't leave out.
+// without returns the shards that the query doesn't leave out and that weren't answered yet.
 func (g *gathering) without(shards []int) []int {
-	if len(g.leaveOut) == 0 {
+	if len(g.leaveOut) == 0 && g.received == 0 {
 		return shards
 	}
-	return slices.DeleteFunc(slices.Clone(shards), func(shard int) bool { return slices.Contains(g.leaveOut, shard) })
+	return slices.DeleteFunc(slices.Clone(shards), func(shard int) bool {
+		return g.signatures[shard] != "" || slices.Contains(g.leaveOut, shard)
+	})
 }
 
 // scarceLines returns a line for each service without spare capacity.
--- a/forward/call.go
+++ b/forward/call.go
@@ -13,6 +13,9 @@
 const (
 	// maxRejections bounds the attempts of one request that targets don't run.
 	maxRejections = 3
+	// maxLostTargets is the number of targets lost under a request from which on it isn't
+	// retried.
+	maxLostTargets = 2
 	// hedgeShare is the fraction of the objective after which an idempotent request
 	// is hedged at the latest.
 	hedgeShare = 0.35
@@ -27,6 +30,7 @@
 	outcome   Outcome
 	hedge     bool
 	kind      attemptKind
+	canary    bool
 	endedAt   time.Time
 	sendState *sendState
 	// silent means that the attempt is still in flight and its target's host hasn't
@@ -57,6 +61,8 @@
 	// run.
 	targetRejections int
 	hedged           bool
+	// lost is the number of targets that were lost while they may have run the request.
+	lost int
 	// silent is the number of attempts that the target's host didn't acknowledge.
 	silent int
 	// budgetDenied means that the budget had no room for another attempt.
@@ -73,6 +79,10 @@
 	garbledBy []*backend
 	// heldBack means that a retry waits until more attempts are allowed.
 	heldBack bool
+	// afterLoss means that a retry waits until a target has answered another shard, since
+	// the first one was lost. canary means that the next attempt tells whether the request
+	// crashes targets.
+	afterLoss, canary bool
 }
 
 // resultsPerCall returns how many results a call may deliver that nobody receives any
@@ -80,7 +90,7 @@
 func resultsPerCall(r *route.Route) int { return 2 * (r.Attempts + maxRejections + 1) }
 
 // pending reports whether the call may still get an answer.
-func (c *call) pending() bool { return c.inFlight > 0 || c.waiting || c.heldBack }
+func (c *call) pending() bool { return c.inFlight > 0 || c.waiting || c.heldBack || c.afterLoss }
 
 // sendState tracks whether an attempt was sent, so that it can be withdrawn before
 // that. It is safe for concurrent use.
@@ -139,6 +149,9 @@
 // attempt that still waits for its connection is withdrawn, so that the new attempt
 // is the request's first arrival and needs no budget.
 func (c *call) hedge(ctx context.Context, shard int, results chan<- *result, level urgency) {
+	if c.req.canary {
+		return
+	}
 	if !c.server.fleet.hasAlternative(c.service, c.tried, time.Now()) {
 		c.req.trace.add(decision{msg: msgNoTarget, at: time.Now(), service: c.service})
 		return
@@ -194,12 +207,18 @@
 		c.req.trace.add(decision{msg: msgExtraDenied, at: now, service: c.service})
 		return false
 	}
+	c.run(ctx, shard, results, sel, hedge, now)
+	return true
+}
+
+// run starts the attempt at a target that was chosen.
+func (c *call) run(ctx context.Context, shard int, results chan<- *result, sel *selection, hedge bool, now time.Time) {
 	id := string(sel.backend.id)
 	c.req.trace.add(decision{msg: msgTargetChosen, at: now, service: c.service, target: id, hedge: hedge, candidate: &sel.candidate, cost: sel.cost})
 	c.tried = append(c.tried, sel.backend)
 	c.inFlight++
 	s := &sendState{}
-	kind := kindOf(len(c.sendStates), hedge)
+	kind, canary := kindOf(len(c.sendStates), hedge), c.canary || c.req.canary
 	c.sendStates = append(c.sendStates, s)
 	a := &attempt{
 		headers: &c.server.cfg.Headers, pool: sel.backend.pool, targetID: id,
@@ -211,12 +230,11 @@
 		onSilent:     func() { c.reportSilence(shard, sel.backend, now, results) },
 	}
 	c.server.workers.run(func() {
-		r := &result{shard: shard, backend: sel.backend, hedge: hedge, kind: kind, sendState: s, outcome: a.run(ctx)}
+		r := &result{shard: shard, backend: sel.backend, hedge: hedge, kind: kind, canary: canary, sendState: s, outcome: a.run(ctx)}
 		r.endedAt = time.Now()
 		c.recordEnd(sel, r)
 		results <- r
 	})
-	return true
 }
 
 // allowAgain takes the targets whose connection was garbled off those tried, and returns
@@ -254,6 +272,7 @@
 		c.req.lost.add(r.kind)
 		c.server.cfg.Metrics.TargetLost(string(c.service), string(r.kind))
 	}
+	c.server.recordForGuard(c.req, r)
 	c.server.logNotices(sel.backend, out, c.server.fleet.finish(sel, out, r.endedAt))
 	if sel.limited && r.sendState.sent() {
 		c.server.cfg.Metrics.SentToLimited(string(c.service))
@@ -314,7 +333,10 @@
 	if r.sendState.withdrawn() && c.inFlight > 0 {
 		return false
 	}
-	retry := r.outcome.Verdict == NotRun || c.req.route.Kind == route.Idempotent
+	if r.outcome.targetLost() {
+		c.lost++
+	}
+	retry := r.outcome.Verdict == NotRun || c.req.route.Kind == route.Idempotent && c.lost < maxLostTargets
 	return retry && c.possibleRuns() < c.attempts && c.rejections <= maxRejections
 }
 
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -46,6 +46,9 @@
 	// median is the usual service time, and late the one above which an attempt counts
 	// as late.
 	median, late time.Duration
+	// caution applies while no target has answered, and lost means that one was lost.
+	caution caution
+	lost    bool
 	// hedging means that late shards are hedged from now on, and holdBack that the
 	// entry hasn't allowed all attempts yet.
 	hedging, holdBack bool
@@ -114,14 +117,25 @@
 
 // startAll hands the shards of other cells over and asks the other ones.
 func (g *gathering) startAll(ctx context.Context) {
-	own := allShards(len(g.calls))
 	plan := g.server.fleet.planFor(g.req.route.Gather)
-	messages := len(own)
+	messages := len(g.calls)
 	if plan != nil {
 		messages = len(plan.cells)
 	}
 	ahead := g.req.allowance + fanOutTime(messages, g.server.cfg.LinkBitsPerSecond) + g.server.answerLag.margin(g.req.route.Objective)
 	g.objective = g.req.received.Add(g.req.route.Objective - ahead)
+	if g.req.canary {
+		shards := canaryFirst(g.without(allShards(len(g.calls))), g.req.id)
+		g.server.budget.recordRequests(g.services(shards[:1]), g.req.received)
+		g.startCanary(ctx, shards, false, func(ctx context.Context) { g.startRest(ctx, plan) })
+		return
+	}
+	g.startRest(ctx, plan)
+}
+
+// startRest starts the shards that weren't answered yet.
+func (g *gathering) startRest(ctx context.Context, plan *cellPlan) {
+	own := allShards(len(g.calls))
 	if plan != nil {
 		own = g.handOverAll(ctx, plan)
 	}
@@ -237,7 +251,7 @@
 	if h := g.handedOver[shard]; h != nil {
 		return h.open
 	}
-	return g.calls[shard] != nil && g.calls[shard].pending()
+	return g.calls[shard] != nil && g.calls[shard].pending() || slices.Contains(g.caution.unstarted, shard)
 }
 
 // anyInFlight reports whether an attempt is in flight.
@@ -276,23 +290,34 @@
 	if g.signatures[r.shard] != "" {
 		return
 	}
+	if r.outcome.targetLost() && g.received == 0 {
+		g.handleLoss(ctx, r.shard, retry)
+		return
+	}
 	if signature := r.outcome.Header.Get(g.server.cfg.Headers.Signature); r.outcome.Success() && isListable(signature) {
 		g.addPart(r.shard, signature)
 		g.bodies = append(g.bodies, r.outcome.Body)
 		c.waiting = false
+		if g.received == 1 {
+			g.endCaution(ctx)
+		}
 		return
 	}
 	switch {
 	case retry:
 		c.start(ctx, r.shard, g.results, g.retryUrgency(), false)
-	case g.holdBack && c.inFlight == 0 && c.rejections <= maxRejections:
-		c.heldBack = true
+	default:
+		c.heldBack = c.heldBack || g.holdsBack(c)
 	}
+	g.endWaiting()
 }
 
 // handleSilence hedges a shard whose target's host is silent, if its part is still
 // missing.
 func (g *gathering) handleSilence(ctx context.Context, shard int) {
+	if g.lost && g.received == 0 {
+		return
+	}
 	if c := g.calls[shard]; c != nil && g.signatures[shard] == "" {
 		c.hedgeSilent(ctx, shard, g.results, g.retryUrgency())
 	}
--- a/forward/gatherattempts.go
+++ b/forward/gatherattempts.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// holdsBack reports whether another attempt at a shard waits until the entry allows it.
+func (g *gathering) holdsBack(c *call) bool {
+	return g.holdBack && c.inFlight == 0 && c.rejections <= maxRejections
+}
+
 // allowAttempts raises the number of targets of a shard that may run the request, and
 // makes up for the retries and hedges that were held back.
 func (g *gathering) allowAttempts(ctx context.Context, attempts int) {
@@ -65,6 +70,9 @@
 
 // hedgeAll hedges the requests to the shards without a part.
 func (g *gathering) hedgeAll(ctx context.Context, level urgency) {
+	if !g.mayHedge() {
+		return
+	}
 	if g.received < g.req.route.Gather.MinParts() && level != urgencyLow {
 		level = urgencyHigh
 	}
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -197,6 +197,13 @@
 		return
 	}
 	h.recheckAt = time.Time{}
+	if g.received == 0 {
+		defer func() {
+			if g.received > 0 {
+				g.endCaution(ctx)
+			}
+		}()
+	}
 	switch r.message.GetStatus() {
 	case pb.PartsStatus_PARTS_STATUS_ACCEPTED:
 		h.accepted = true
--- a/forward/lostruns.go
+++ b/forward/lostruns.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/peridotmux/peridotmux/quarantine"
@@ -30,8 +32,12 @@
 }
 
 // targetLost reports whether the attempt's connection ended although the target may have
-// begun to run the request, as when the target crashes.
-func (o *Outcome) targetLost() bool { return o.Verdict == Unknown && o.ConnectionLost }
+// begun to run the request, as when the target crashes. A target that resets a new
+// connection has too many of them.
+func (o *Outcome) targetLost() bool {
+	overLimit := o.OverConnectionLimit && errors.Is(o.Cause, syscall.ECONNRESET)
+	return o.Verdict == Unknown && o.ConnectionLost && !overLimit
+}
 
 // lostRuns counts the attempts of a request that were lost with their targets. It is safe
 // for concurrent use.
--- a/forward/parts.go
+++ b/forward/parts.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/peridotmux/peridotmux/quarantine"
 	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/rpc"
 	"github.com/peridotmux/peridotmux/rpc/pb"
@@ -147,11 +148,28 @@
 	g.objective = answerBy
 	attempts := min(int(q.GetAttemptsAtOnce()), req.route.Attempts)
 	g.holdBack = attempts < req.route.Attempts
-	g.startShards(work, allShards(len(g.calls)), attempts, q.GetRepeat())
+	g.startParts(work, attempts, q.GetRepeat())
 	g.stream(work, stop, proceed, answerBy, func(status pb.PartsStatus) { reply(g.partsReply(q.GetId(), status)) })
 	s.logPartsServed(req, g, q.GetEntry(), q.GetRepeat())
 }
 
+// startParts starts the shards of another router's request, one of them first if the
+// request may crash targets, and none if it is known to.
+func (g *gathering) startParts(ctx context.Context, attempts int, repeat bool) {
+	all := canaryFirst(allShards(len(g.calls)), g.req.id)
+	standing := quarantine.Clear
+	if g.server.guard.Active() {
+		standing, _ = g.server.guard.Standing(g.req.fingerprint(), time.Now())
+	}
+	switch {
+	case standing == quarantine.Quarantined:
+	case standing == quarantine.Suspect && len(all) > 1:
+		g.startCanary(ctx, all, repeat, func(ctx context.Context) { g.startShards(ctx, all[1:], attempts, repeat) })
+	default:
+		g.startShards(ctx, all, attempts, repeat)
+	}
+}
+
 // partsRequest returns the request of another router as one of this router.
 func (s *Server) partsRequest(q *pb.PartsRequest, received time.Time) *request {
 	gather := &route.Gather{TopK: int(q.GetTop()), MinCoverage: q.GetMinCoverage()}
--- /dev/null
+++ b/forward/quarantine_test.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/peridotmux/peridotmux/discovery"
+)
+
+// crashOn makes a target close the connection, after some time, for requests whose path or
+// body contains "deadly".
+func (s *fakeTarget) crashOn(after time.Duration, body func() string) {
+	s.answer = func(c net.Conn, r *http.Request, sent []byte, _ int) {
+		if strings.Contains(r.RequestURI+string(sent), "deadly") {
+			time.Sleep(after)
+			_ = c.Close()
+			return
+		}
+		s.ok(c, r, body())
+	}
+}
+
+// deadlyRequests counts the requests that crash targets among those that reached some.
+func deadlyRequests(targets []*fakeTarget) int {
+	n := 0
+	for _, s := range targets {
+		for _, r := range s.requests() {
+			if strings.Contains(r.uri+r.body, "deadly") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// checkHealth lets the targets that were lost be used again, also those that closed a new
+// connection.
+func (f *testServer) checkHealth() {
+	f.fleet.mu.Lock()
+	for _, b := range f.fleet.byID {
+		b.connLimitedUntil = time.Time{}
+	}
+	f.fleet.mu.Unlock()
+	for _, b := range f.fleet.dueChecks(time.Now().Add(time.Minute)) {
+		f.checker.check(f.t.Context(), b)
+	}
+}
+
+// Guards against a request that takes down target after target.
+func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
+	var targets []*fakeTarget
+	var entries []discovery.Target
+	for i := range 6 {
+		s := newFakeTarget(t, fmt.Sprint("t", i), "one")
+		s.crashOn(0, func() string { return "fine" })
+		targets, entries = append(targets, s), append(entries, s.entry())
+	}
+	f := newTestServer(t, testTable(), entries...)
+	var last reply
+	for i := range 10 {
+		last = f.send(http.MethodPost, "/one/x", "deadly", fmt.Sprint("d", i), 2000)
+		f.checkHealth()
+	}
+	if n := deadlyRequests(targets); n > 3 {
+		t.Errorf("%d targets crashed, want 3", n)
+	}
+	if last.status != http.StatusServiceUnavailable || last.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, %v for a request that crashes targets", last.status, last.header)
+	}
+	if got := f.send(http.MethodPost, "/one/x", "other", "o", 2000); got.status != http.StatusOK {
+		t.Errorf("status %d for another body on the same path", got.status)
+	}
+}
+
+// Guards against a gather that takes down several targets of each shard.
+func TestGatherThatCrashesTargetsIsStopped(t *testing.T) {
+	const shards = 5
+	names, targets, entries := startShards(t, shards)
+	for i, s := range targets {
+		s.crashOn(150*time.Millisecond, func() string { return partBody(i / 2) })
+	}
+	f := newTestServer(t, testTable(names...), entries...)
+	for i := range 4 {
+		f.send(http.MethodGet, "/all/deadly", "", fmt.Sprint("d", i), 2000)
+		f.checkHealth()
+	}
+	if n := deadlyRequests(targets); n > shards+1 {
+		t.Errorf("%d targets crashed, want one of each of %d shards and a canary", n, shards)
+	}
+	if got := f.send(http.MethodGet, "/all/other", "", "o", 2000); got.status != http.StatusOK || got.header.Get("Missing") != "0" {
+		t.Errorf("status %d, %v for another query", got.status, got.header)
+	}
+}
+
+// loseFirst makes the targets of the first shards close the connection on the first request
+// that a shard gets.
+func loseFirst(targets []*fakeTarget, shards int) {
+	once := make([]sync.Once, shards)
+	for i, s := range targets[:2*shards] {
+		s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
+			lost := false
+			once[i/2].Do(func() { lost = true })
+			if lost {
+				_ = c.Close()
+				return
+			}
+			s.ok(c, r, partBody(i/2))
+		}
+	}
+}
+
+// A query that ran beside one that crashes targets must be served: at once if a shard's
+// target has answered, otherwise when it is retried.
+func TestQueryBesideACrashIsServed(t *testing.T) {
+	names, targets, entries := startShards(t, 5)
+	loseFirst(targets, 3)
+	f := newTestServer(t, testTable(names...), entries...)
+	if got := f.send(http.MethodGet, "/all/x", "", "some", 2000); got.status != http.StatusOK || got.header.Get("Missing") != "0" {
+		t.Errorf("status %d, %v with three of five shards lost at first", got.status, got.header)
+	}
+	names, targets, entries = startShards(t, 5)
+	loseFirst(targets, 5)
+	f = newTestServer(t, testTable(names...), entries...)
+	first := f.send(http.MethodGet, "/all/x", "", "first", 2000)
+	f.checkHealth()
+	second := f.send(http.MethodGet, "/all/x", "", "second", 2000)
+	if second.status != http.StatusOK || second.header.Get("Missing") != "0" {
+		t.Errorf("status %d, then %d, %v with all shards lost at first", first.status, second.status, second.header)
+	}
+}
+
+// A gather whose every shard is late must not be hedged: it would reach twice as many
+// targets before it is known what it does to them.
+func TestNoHedgesBeforeTheFirstPart(t *testing.T) {
+	names, targets, entries := startShards(t, 4)
+	for i, s := range targets {
+		s.answer = func(c net.Conn, r *http.Request, _ []byte, _ int) {
+			time.Sleep(200 * time.Millisecond)
+			s.ok(c, r, partBody(i/2))
+		}
+	}
+	f := newTestServer(t, testTable(names...), entries...)
+	if got := f.send(http.MethodGet, "/all/x", "", "late", 2000); got.status != http.StatusOK {
+		t.Errorf("status %d", got.status)
+	}
+	n := 0
+	for _, s := range targets {
+		n += len(s.requests())
+	}
+	if n != len(names) {
+		t.Errorf("%d requests for %d shards", n, len(names))
+	}
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -36,12 +36,22 @@
 	trace     requestTrace
 	// lost counts the attempts that were lost with their targets.
 	lost lostRuns
+	// canary means that the request may crash targets, so that one runs it at a time.
+	canary bool
 	// bodies is the memory of the targets' responses until the answer is written.
 	bodies response.Hold
 	// release ends the request's place among the pipelined ones. It may be nil.
 	release func()
 }
 
+// attempts returns the number of targets, for each shard, that may run the request.
+func (req *request) attempts() int {
+	if req.canary {
+		return 1
+	}
+	return req.route.Attempts
+}
+
 // end ends a request that was answered or refused.
 func (req *request) end() {
 	req.bodies.Release()
--- a/forward/requestlog.go
+++ b/forward/requestlog.go
@@ -27,6 +27,7 @@
 	msgResumed      = "request held after a pause"
 	msgSuppressed   = "request lines left out"
 	msgTargetsLost  = "targets lost under a request"
+	msgStanding     = "request's standing changed"
 
 	// About targets.
 	msgLeaving   = "target is leaving"
--- a/forward/requestlog_test.go
+++ b/forward/requestlog_test.go
@@ -32,18 +32,18 @@
 	f := newTestServer(t, testTable(), a.entry(), b.entry())
 	f.send(http.MethodGet, "/one/x", "", "troubled", 1000)
 	got, all := f.linesOf("troubled")
-	want := []string{msgTargetsLost, msgTargetChosen, msgAttemptEnded, msgTargetChosen, msgAttemptEnded, msgRefused}
+	want := []string{msgStanding, msgTargetsLost, msgTargetChosen, msgAttemptEnded, msgTargetChosen, msgAttemptEnded, msgRefused}
 	if strings.Join(got, "|") != strings.Join(want, "|") {
 		t.Fatalf("lines %v, want %v", got, want)
 	}
 	for _, key := range []string{"in_flight", "load_age", "slowness", "failing", "cost"} {
-		if _, ok := all[1][key]; !ok {
-			t.Errorf("the choice lacks attribute %s: %v", key, all[1])
+		if _, ok := all[2][key]; !ok {
+			t.Errorf("the choice lacks attribute %s: %v", key, all[2])
 		}
 	}
 	for _, key := range []string{"fingerprint", "first", "hedges", "retries"} {
-		if _, ok := all[0][key]; !ok {
-			t.Errorf("the line about lost targets lacks attribute %s: %v", key, all[0])
+		if _, ok := all[1][key]; !ok {
+			t.Errorf("the line about lost targets lacks attribute %s: %v", key, all[1])
 		}
 	}
 	last := all[len(all)-1]
--- a/forward/server.go
+++ b/forward/server.go
@@ -20,6 +20,7 @@
 	"github.com/peridotmux/peridotmux/internal/connpool"
 	"github.com/peridotmux/peridotmux/internal/response"
 	"github.com/peridotmux/peridotmux/outlier"
+	"github.com/peridotmux/peridotmux/quarantine"
 	"github.com/peridotmux/peridotmux/ratelimit"
 	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/telemetry"
@@ -69,6 +70,9 @@
 	// RateLimits are the limits that targets named to all routers. If nil, the server
 	// knows those that it was told itself.
 	RateLimits *ratelimit.Gateway
+	// Quarantine keeps requests that crash targets away from them. If nil, the server uses
+	// what it saw itself.
+	Quarantine *quarantine.Guard
 	// Admission decides which queries are served by scarce shards. It is nil if all are.
 	Admission *admission.Gate
 	Log       *slog.Logger
@@ -86,6 +90,7 @@
 	requestLog   *requestLogger
 	workers      *workers
 	resume       *resumeGate
+	guard        *quarantine.Guard
 	// helpers are the routers that send sub-requests for this one, and sharedParts the
 	// number of shards in progress that this one asks for others.
 	helpers     *helpers
@@ -120,6 +125,7 @@
 	if c.Rollouts.Collector != nil {
 		c.Rollouts.Collector.SetApplied(s.fleet.rolloutsApplied)
 	}
+	s.guard = cmp.Or(c.Quarantine, quarantine.NewGuard(time.Now))
 	s.fleet.learning = c.Learning
 	if c.RateLimits != nil {
 		s.fleet.limits = c.RateLimits
@@ -254,6 +260,14 @@
 		s.refuseDraining(w, r, req)
 		return
 	}
+	done, refusal := s.admitSuspect(r.Context(), req)
+	if refusal != nil {
+		s.refuse(w, r, req, refusal)
+		return
+	}
+	if done != nil {
+		defer done()
+	}
 	if refusal := s.admitQuota(r.Context(), req, time.Now()); refusal != nil {
 		s.refuse(w, r, req, refusal)
 		return
--- a/forward/single.go
+++ b/forward/single.go
@@ -19,7 +19,7 @@
 	if len(req.route.Split) > 1 {
 		s.budget.recordRequest(service, req.received)
 	}
-	c := &call{server: s, req: req, service: service, median: median, attempts: req.route.Attempts}
+	c := &call{server: s, req: req, service: service, median: median, attempts: req.attempts()}
 	results := make(chan *result, resultsPerCall(req.route))
 	if !c.start(ctx, 0, results, urgencyHigh, false) {
 		s.refuse(w, r, req, s.noTargetRefusal(req, service, time.Now()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/peridotmux/peridotmux/forward"
 	"github.com/peridotmux/peridotmux/lease"
 	"github.com/peridotmux/peridotmux/outlier"
+	"github.com/peridotmux/peridotmux/quarantine"
 	"github.com/peridotmux/peridotmux/quota"
 	"github.com/peridotmux/peridotmux/ratelimit"
 	"github.com/peridotmux/peridotmux/rollout/report"
@@ -140,13 +141,13 @@
 		inventory: discovery.NewInventory(), metrics: metrics,
 	}
 	counts := report.NewCollector(string(c.Settings.VM.Name), rand.Uint64())
-	gate, limits := admission.NewGate(), ratelimit.NewGateway(time.Now)
+	gate, limits, guard := admission.NewGate(), ratelimit.NewGateway(time.Now), quarantine.NewGuard(time.Now)
 	g.clients = clientlimit.New(clientlimit.Config{
 		Limits: clientlimit.LimitsFor(c.Settings.MemoryMB, c.Settings.MaxFDs, clientlimit.GatewayShares),
 		Log:    g.log, Metrics: metrics.Clients,
 	})
 	g.outliers = &outlier.Client{
-		Topics:    []outlier.Topic{counts, gate, limits},
+		Topics:    []outlier.Topic{counts, gate, limits, guard},
 		Collector: outlier.NewCollector(), View: outlier.NewView(), Self: string(c.Settings.VM.Name), Peers: g.knownMembers,
 		Interval: func() time.Duration { return outlier.ReportInterval(len(g.board.View().Routers)) },
 		Log:      g.log,
@@ -176,6 +177,7 @@
 		},
 		Learning:   g.newLearning(),
 		RateLimits: limits,
+		Quarantine: guard,
 		Admission:  gate,
 		Log:        logs.Logger(settings.PartEntry),
 		Metrics:    metrics.Forward,
--- a/outlier/client.go
+++ b/outlier/client.go
@@ -103,7 +103,7 @@
 		return &rpc.ConnectionLostError{Addr: addr.String(), Cause: err}
 	}
 	for {
-		wait.For(ctx, c.Interval())
+		c.awaitReport(ctx)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -121,6 +121,17 @@
 	}
 }
 
+// awaitReport waits until the next report is due, or one is urgent.
+func (c *Client) awaitReport(ctx context.Context) {
+	timer := time.NewTimer(c.Interval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-urgent(c.Topics):
+	case <-ctx.Done():
+	}
+}
+
 // receive applies updates until the stream ends or is silent for silenceTimeout. It
 // then clears the view and the topics' states, since no update would say that an
 // outlier has recovered: at once if the stream ended, and peerTimeout after the last
--- a/outlier/hub.go
+++ b/outlier/hub.go
@@ -9,7 +9,6 @@
 
 	"storj.io/drpc"
 
-	"github.com/peridotmux/peridotmux/internal/wait"
 	"github.com/peridotmux/peridotmux/rpc/pb"
 )
 
@@ -64,11 +63,22 @@
 		Topics:   h.relayTopics(),
 	}
 	go client.Run(ctx)
-	for ctx.Err() == nil {
-		wait.For(ctx, detectInterval)
-		if h.cfg.IsLeader() {
-			h.detect(time.Now())
-			h.updateStates(time.Now())
+	tick := time.NewTicker(detectInterval)
+	defer tick.Stop()
+	topic, urgentState := h.urgentTopic()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-urgentState:
+			if h.cfg.IsLeader() {
+				h.states.set(topic.Name(), topic.State(time.Now()))
+			}
+		case <-tick.C:
+			if h.cfg.IsLeader() {
+				h.detect(time.Now())
+				h.updateStates(time.Now())
+			}
 		}
 	}
 }
--- a/outlier/topic.go
+++ b/outlier/topic.go
@@ -45,6 +45,35 @@
 	Followed(state []byte)
 }
 
+// UrgentTopic is a Topic some of whose reports can't wait for the next interval.
+type UrgentTopic interface {
+	Topic
+	// Urgent returns a channel that has an element when a report is to be sent at once.
+	Urgent() <-chan struct{}
+}
+
+// UrgentHubTopic is a HubTopic some of whose reports and states can't wait.
+type UrgentHubTopic interface {
+	HubTopic
+	// UrgentReport returns a channel that has an element when what was collected is to be
+	// passed on at once, and UrgentState one that has when the state is.
+	UrgentReport() <-chan struct{}
+	UrgentState() <-chan struct{}
+}
+
+// urgent returns the channel of the topic that has urgent reports, nil if none has. There
+// is one at most.
+func urgent(topics []Topic) <-chan struct{} {
+	for _, t := range topics {
+		if u, ok := t.(UrgentTopic); ok {
+			if c := u.Urgent(); c != nil {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
 // takeReports returns the topics' reports. Topics without a report are left out.
 func takeReports(topics []Topic) []*pb.TopicPayload {
 	var out []*pb.TopicPayload
@@ -134,6 +163,14 @@
 // Report implements Topic.
 func (t relayTopic) Report() []byte { return t.Take() }
 
+// Urgent implements UrgentTopic. The channel is nil if no report is urgent.
+func (t relayTopic) Urgent() <-chan struct{} {
+	if u, ok := t.HubTopic.(UrgentHubTopic); ok {
+		return u.UrgentReport()
+	}
+	return nil
+}
+
 // Apply implements Topic.
 func (t relayTopic) Apply(state []byte) {
 	if f, ok := t.HubTopic.(HubFollower); ok {
@@ -157,6 +194,17 @@
 	}
 }
 
+// urgentTopic returns the topic that has urgent states and its channel, nil if none has.
+// There is one at most.
+func (h *Hub) urgentTopic() (HubTopic, <-chan struct{}) {
+	for _, t := range h.cfg.Topics {
+		if u, ok := t.(UrgentHubTopic); ok {
+			return t, u.UrgentState()
+		}
+	}
+	return nil, nil
+}
+
 // applyTopics passes reports to their topics.
 func (h *Hub) applyTopics(reports []*pb.TopicPayload, isLeader bool, now time.Time) {
 	for _, r := range reports {
--- a/outlier/topic_test.go
+++ b/outlier/topic_test.go
@@ -131,3 +131,44 @@
 	}
 	go c.Run(t.Context())
 }
+
+// urgentTopic is a topic whose reports and states are all urgent.
+type urgentTopic struct {
+	sumTopic
+	report, state chan struct{}
+}
+
+func newUrgentTopic() *urgentTopic {
+	return &urgentTopic{report: make(chan struct{}, 1), state: make(chan struct{}, 1)}
+}
+
+func (u *urgentTopic) Urgent() <-chan struct{}       { return u.report }
+func (u *urgentTopic) UrgentReport() <-chan struct{} { return u.report }
+func (u *urgentTopic) UrgentState() <-chan struct{}  { return u.state }
+
+func (u *urgentTopic) Add(report []byte, now time.Time) {
+	u.sumTopic.Add(report, now)
+	u.state <- struct{}{}
+}
+
+func (u *urgentTopic) Collect(report []byte) {
+	u.sumTopic.Collect(report)
+	u.report <- struct{}{}
+}
+
+// An urgent report must not wait for the interval of reports.
+func TestUrgentReportIsSentAtOnce(t *testing.T) {
+	leader := startMemberWith(t, func() []netip.AddrPort { return nil }, newUrgentTopic())
+	leader.isLeader.Store(true)
+	a := startMemberWith(t, func() []netip.AddrPort { return []netip.AddrPort{leader.addr} }, newUrgentTopic())
+	topic := newUrgentTopic()
+	c := &Client{
+		Collector: NewCollector(), View: NewView(), Self: "r", Peers: func() []netip.AddrPort { return []netip.AddrPort{a.addr} },
+		Interval: func() time.Duration { return time.Hour }, Topics: []Topic{topic}, Log: slog.New(slog.DiscardHandler),
+	}
+	go c.Run(t.Context())
+	waitFor(t, "the member is connected", func() bool { return topic.get() == "0" })
+	topic.add(&topic.reported, []byte("3"))
+	topic.report <- struct{}{}
+	waitFor(t, "the sum is known", func() bool { return topic.get() == "3" })
+}
