response: a status below 100 is no response

A target's answer with the status 000 isn't passed on here, but it ended the caller's connection without any answer: the parser takes any three digits for a status, and writing 0 to the caller panics. Such a response is malformed now, so that the request is retried where it may be, or answered with 502.

TestStatusBelowHundredIsNoAnswer failed before (EOF for 000, 099 and +20).

--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/peridotmux/peridotmux/internal/connpool"
 )
@@ -61,6 +62,12 @@
 // Unwrap returns the parser's error.
 func (e *MalformedError) Unwrap() error { return e.Cause }
 
+// StatusError means that the status is none of HTTP's, which begin at 100.
+type StatusError struct{ Status string }
+
+// Error describes the failure.
+func (e *StatusError) Error() string { return "invalid status " + strconv.Quote(e.Status) }
+
 // Read reads one final response to a request with the given method; informational
 // responses are skipped. The error is a *TooLargeError, a *MalformedError, an
 // *OutOfMemoryError, or that of the connection. After an error the connection must
@@ -74,7 +81,9 @@
 			return nil, nil, &TooLargeError{Part: Head}
 		case err != nil:
 			return nil, nil, classify(err)
-		case resp.StatusCode >= 100 && resp.StatusCode < 200:
+		case resp.StatusCode < http.StatusContinue:
+			return nil, nil, &MalformedError{Cause: &StatusError{Status: resp.Status}}
+		case resp.StatusCode < http.StatusOK:
 			continue
 		}
 		// The body's framing may take as much as a head.
