quarantine: don't take chance for evidence

Read in the diff: requests that many callers repeat all the time have one fingerprint. With a target that resets a twentieth of its answers, three losses in a row are chance, and would have quarantined all of these requests for 30 s. Each lost target now counts once, and a request that was answered within the last half minute needs twice as many losses.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -129,6 +129,8 @@
 	hedge bool
 	// limited means that the target had a rate limit when it was chosen.
 	limited bool
+	// key identifies the target's incarnation.
+	key capacity.Key
 	// rollout identifies the counts of a rollout that the attempt adds to.
 	rollout rolloutCount
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -272,7 +272,7 @@
 		c.req.lost.add(r.kind)
 		c.server.cfg.Metrics.TargetLost(string(c.service), string(r.kind))
 	}
-	c.server.recordForGuard(c.req, r)
+	c.server.recordForGuard(c.req, sel, r)
 	c.server.logNotices(sel.backend, out, c.server.fleet.finish(sel, out, r.endedAt))
 	if sel.limited && r.sendState.sent() {
 		c.server.cfg.Metrics.SentToLimited(string(c.service))
--- a/forward/caution.go
+++ b/forward/caution.go
@@ -99,9 +99,6 @@
 	if x.rest != nil {
 		x.rest(ctx)
 	}
-	if g.hedging {
-		g.hedgeAll(ctx, urgencyLow)
-	}
 }
 
 // mayHedge reports whether late shards may be hedged.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -222,8 +222,9 @@
 		best.backend.probeAt = now.Add(f.probeInterval(best.backend.service))
 	}
 	best.hedge = crit.hedge
+	best.key = best.backend.capacityKey()
 	if _, best.limited = f.limitOf(best.backend); best.limited {
-		f.limits.Take(best.backend.capacityKey())
+		f.limits.Take(best.key)
 	}
 	best.rollout = f.rollouts.sent(&version, best.backend, crit.route)
 	best.backend.inFlight[best] = now
--- a/forward/gatherattempts.go
+++ b/forward/gatherattempts.go
@@ -5,10 +5,14 @@
 	"time"
 )
 
-// hedgeOnTime hedges when the timer fires: the first time those that are late, and at
-// lastHedge those that the budget didn't allow earlier.
+// hedgeOnTime hedges when the timer fires: the first time those that are late, once a part
+// has come, and at lastHedge those that the budget didn't allow earlier.
 func (g *gathering) hedgeOnTime(ctx context.Context, timer *time.Timer, lastHedge time.Time) {
 	g.hedging = true
+	if !g.mayHedge() && time.Now().Before(g.req.deadline) {
+		timer.Reset(minHedgeDelay)
+		return
+	}
 	g.hedgeAll(ctx, urgencyLow)
 	timer.Reset(time.Until(lastHedge))
 	if !time.Now().Before(lastHedge) {
--- a/forward/lostruns.go
+++ b/forward/lostruns.go
@@ -66,7 +66,10 @@
 
 // fingerprint identifies requests that are the same to a target.
 func (req *request) fingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(req.workspaceName(), req.method, req.host, req.uri, req.body)
+	req.hashOnce.Do(func() {
+		req.hash = quarantine.FingerprintOf(req.workspaceName(), req.method, req.host, req.uri, req.body)
+	})
+	return req.hash
 }
 
 // logLostRuns logs that a request lost targets, at its end.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -26,15 +26,15 @@
 }
 
 // recordForGuard passes the end of an attempt on to what decides which requests may run.
-func (s *Server) recordForGuard(req *request, r *result) {
+func (s *Server) recordForGuard(req *request, sel *selection, r *result) {
 	switch {
 	case r.outcome.targetLost():
 		f := req.fingerprint()
-		standing, changed := s.guard.Lost(f, r.canary)
+		standing, changed := s.guard.Lost(f, quarantine.Target(sel.key), r.canary)
 		if changed {
 			s.cfg.Log.Warn(msgStanding, "request", req.id, "fingerprint", f.String(), "standing", standing.String())
 		}
-	case r.outcome.Verdict == Answered && s.guard.Active():
+	case r.outcome.Verdict == Answered && (!req.answered.Swap(true) || s.guard.Active()):
 		s.guard.Answered(req.fingerprint())
 	}
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -4,9 +4,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/peridotmux/peridotmux/internal/response"
+	"github.com/peridotmux/peridotmux/quarantine"
 	"github.com/peridotmux/peridotmux/route"
 	"github.com/peridotmux/peridotmux/workspace"
 )
@@ -36,6 +39,11 @@
 	trace     requestTrace
 	// lost counts the attempts that were lost with their targets.
 	lost lostRuns
+	// hash is the request's fingerprint, once it was needed.
+	hash     quarantine.Fingerprint
+	hashOnce sync.Once
+	// answered means that a target has answered it.
+	answered atomic.Bool
 	// canary means that the request may crash targets, so that one runs it at a time.
 	canary bool
 	// bodies is the memory of the targets' responses until the answer is written.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -29,6 +29,8 @@
 	pending map[Fingerprint]report
 	// reported are the requests whose losses were reported, so that an answer is, too.
 	reported map[Fingerprint]bool
+	// answered are the requests that targets answered lately.
+	answered recent
 	// canaries are closed when the canary of a request ends.
 	canaries map[Fingerprint]chan struct{}
 	knownAt  time.Time
@@ -137,11 +139,11 @@
 
 // Lost records that a target was lost while it may have run a request. canary means that it
 // ran it as a canary. It returns the request's standing and whether that has changed.
-func (g *Guard) Lost(f Fingerprint, canary bool) (s Standing, changed bool) {
+func (g *Guard) Lost(f Fingerprint, t Target, canary bool) (s Standing, changed bool) {
 	now := g.now()
-	e := Evidence{Lost: 1, CanaryLost: canary}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	e := Evidence{Lost: []Target{t}, CanaryLost: canary, Trusted: g.answered.has(f, now)}
 	before, _ := g.standing(f, now)
 	g.own.add(f, e, now)
 	g.active.Store(true)
@@ -155,16 +157,15 @@
 
 // Answered records that a target answered a request, which clears it.
 func (g *Guard) Answered(f Fingerprint) {
-	if !g.Active() {
-		return
-	}
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.answered.add(f, now)
 	_, shared := g.shared[f]
 	if !shared && g.own.records[f] == nil {
 		return
 	}
-	g.own.add(f, Evidence{Answered: true}, g.now())
+	g.own.add(f, Evidence{Answered: true}, now)
 	delete(g.shared, f)
 	if !g.reported[f] && !shared {
 		// Nobody else was told of the losses.
@@ -215,7 +216,7 @@
 		clear(g.reported)
 	}
 	for f, r := range g.pending {
-		if r.Lost > 0 {
+		if len(r.Lost) > 0 {
 			g.reported[f] = true
 		}
 	}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,12 @@
 	// a canary.
 	suspectLosses    = 2
 	quarantineLosses = 3
+	// trustedFactor is how many times as many targets must be lost in a row under a request
+	// that some answered lately: among many runs of one request, a few lost ones in a row
+	// are chance.
+	trustedFactor = 2
+	// maxTargets bounds the lost targets that are told apart.
+	maxTargets = trustedFactor * quarantineLosses
 	// suspectTime is how long a request is a suspect after the last loss.
 	suspectTime = time.Minute
 	// quarantineTime is how long a request is quarantined at first. After that it may run
@@ -49,23 +56,42 @@
 
 // Evidence is what happened to a request.
 type Evidence struct {
-	// Lost is the number of targets that were lost under it, and CanaryLost means that one
-	// of them ran it as a canary.
-	Lost       int
+	// Lost are the targets that were lost under it, each one once, and CanaryLost means
+	// that one of them ran it as a canary.
+	Lost       []Target
 	CanaryLost bool
+	// Trusted means that targets answered it not long before.
+	Trusted bool
 	// Answered means that a target answered it after that.
 	Answered bool
 }
 
+// Target identifies one start of a target.
+type Target uint64
+
 // plus returns the evidence of both, of which later is the later one.
 func (e Evidence) plus(later Evidence) Evidence {
-	if later.Answered || e.Answered && later.Lost == 0 {
+	if later.Answered || e.Answered && len(later.Lost) == 0 {
 		return Evidence{Answered: true}
 	}
 	if e.Answered {
 		return later
 	}
-	return Evidence{Lost: e.Lost + later.Lost, CanaryLost: e.CanaryLost || later.CanaryLost}
+	lost := slices.Clone(e.Lost)
+	for _, t := range later.Lost {
+		if len(lost) < maxTargets && !slices.Contains(lost, t) {
+			lost = append(lost, t)
+		}
+	}
+	return Evidence{Lost: lost, CanaryLost: e.CanaryLost || later.CanaryLost, Trusted: e.Trusted || later.Trusted}
+}
+
+// lostAtLeast reports whether so many targets were lost, or more if the request is trusted.
+func (e Evidence) lostAtLeast(n int) bool {
+	if e.Trusted {
+		n *= trustedFactor
+	}
+	return len(e.Lost) >= n
 }
 
 // record is what is known of one request.
@@ -104,7 +130,7 @@
 	}
 	r.Evidence = r.plus(e)
 	r.lostAt = now
-	if e.Lost > 0 && r.CanaryLost && r.Lost >= quarantineLosses && !now.Before(r.until) {
+	if len(e.Lost) > 0 && r.CanaryLost && r.lostAtLeast(quarantineLosses) && !now.Before(r.until) {
 		r.quarantine(now)
 	}
 	return r.standing(now)
@@ -131,7 +157,7 @@
 		return Clear
 	case now.Before(r.until):
 		return Quarantined
-	case r.times > 0 || r.Lost >= suspectLosses:
+	case r.times > 0 || r.lostAtLeast(suspectLosses):
 		return Suspect
 	default:
 		return Clear
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -36,7 +36,7 @@
 	if r.quarantined <= 0 || r.Answered || l.records[f] != nil {
 		return l.add(f, r.Evidence, now)
 	}
-	l.add(f, Evidence{Lost: r.Lost}, now)
+	l.add(f, Evidence{Lost: r.Lost, Trusted: r.Trusted}, now)
 	if x := l.records[f]; x != nil {
 		x.quarantineFor(min(r.quarantined, maxQuarantineTime), now)
 	}
@@ -55,9 +55,13 @@
 	for _, f := range byBytes(reports) {
 		r := reports[f]
 		m.Evidence = append(m.Evidence, &pb.QuarantineEvidence{
-			Fingerprint: f[:], Lost: uint32(r.Lost), CanaryLost: r.CanaryLost, Answered: r.Answered,
+			Fingerprint: f[:], CanaryLost: r.CanaryLost, Trusted: r.Trusted, Answered: r.Answered,
 			QuarantinedMs: uint32(r.quarantined.Milliseconds()),
 		})
+		for _, t := range r.Lost {
+			last := m.Evidence[len(m.Evidence)-1]
+			last.Lost = append(last.Lost, uint64(t))
+		}
 	}
 	return marshal(m)
 }
@@ -69,12 +73,17 @@
 	}
 	out := make(map[Fingerprint]report)
 	for _, e := range m.GetEvidence() {
-		if len(e.GetFingerprint()) == fingerprintBytes {
-			out[Fingerprint(e.GetFingerprint())] = report{
-				Evidence:    Evidence{Lost: int(e.GetLost()), CanaryLost: e.GetCanaryLost(), Answered: e.GetAnswered()},
-				quarantined: time.Duration(e.GetQuarantinedMs()) * time.Millisecond,
-			}
+		if len(e.GetFingerprint()) != fingerprintBytes {
+			continue
+		}
+		r := report{
+			Evidence:    Evidence{CanaryLost: e.GetCanaryLost(), Trusted: e.GetTrusted(), Answered: e.GetAnswered()},
+			quarantined: time.Duration(e.GetQuarantinedMs()) * time.Millisecond,
+		}
+		for _, t := range e.GetLost()[:min(len(e.GetLost()), maxTargets)] {
+			r.Lost = append(r.Lost, Target(t))
 		}
+		out[Fingerprint(e.GetFingerprint())] = r
 	}
 	return out, true
 }
