soak: targets that name limits, and requests that crash targets

The soak had neither. Targets now name limits for 6 to 14 s, and requests by gateways that weren't disturbed since are counted over 4 s; requests with the word crash in their path end the connections of the target that runs them, come again through all gateways, and may reach targets in three requests later than 4 s after the third crash.

--- a/internal/soak/copies.go
+++ b/internal/soak/copies.go
@@ -71,6 +71,9 @@
 	if r.URL.Path != healthPath {
 		id := r.Header.Get(headers.RequestID)
 		t.checkArrival(id, r.Header)
+		if t.crashesOn(r, id) {
+			return c.Close()
+		}
 		t.ledger.recordRun(id, t.service, t.id)
 		body := answerBody(t.service, id)
 		answer = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -78,6 +78,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.printf("%d arrivals after a notice of leaving, %d while a target backed off", n.leftChecks, n.backOffChecks)
+	l := r.cluster.ledger.rateLimits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.printf("%d arrivals counted against a target's rate limit", l.checks)
+	x := r.cluster.ledger.crashes
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for path, c := range x.byPath {
+		r.printf("request %s crashed %d targets", path, c.count)
+	}
 }
 
 // mayMissNotice reports whether a disruption since a time of a gateway, or of its link to
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -82,6 +82,8 @@
 	beside.Go(func() { r.disruptByNotices(work) })
 	beside.Go(func() { r.rollOut(work) })
 	beside.Go(func() { r.disruptByCrowds(work) })
+	beside.Go(func() { r.disruptByLimits(work) })
+	beside.Go(func() { r.disruptByCrashes(work) })
 	for until := time.Now().Add(cfg.Duration); time.Now().Before(until) && ctx.Err() == nil; {
 		r.disrupt(ctx)
 		r.collectViolations()
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -65,6 +65,8 @@
 	// backOff is how long it asks for no requests, 0 if it takes them.
 	leaving bool
 	backOff time.Duration
+	// rateLimit is the limit that the target names, 0 for none.
+	rateLimit float64
 	// endless is the form in which the target sends bytes without end instead of
 	// responses, empty if it doesn't.
 	endless endless.Form
@@ -86,6 +88,8 @@
 	violations   []string
 	traffic      *traffic
 	notices      *notices
+	rateLimits   *rateLimits
+	crashes      *crashes
 	identities   *identities
 	// excused and restarted are what notices.arrive needs to know of a gateway.
 	excused   func(t *standinTarget, gateway int, since time.Time) bool
@@ -93,7 +97,10 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, lastArrivals: map[string]time.Time{}, traffic: newTraffic(), notices: newNotices(), identities: newIdentities()}
+	return &ledger{
+		runs: map[string]int{}, lastArrivals: map[string]time.Time{}, traffic: newTraffic(), notices: newNotices(), identities: newIdentities(),
+		rateLimits: &rateLimits{named: map[string]*namedLimit{}}, crashes: &crashes{byPath: map[string]*crashing{}},
+	}
 }
 
 func (l *ledger) recordRun(id, service, target string) {
@@ -175,6 +182,7 @@
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
 	t.sayLeaving(w, id)
+	t.sayRateLimit(w)
 	if r.URL.Path == healthPath {
 		if t.sendsCopies() {
 			t.serveCopies(w)
@@ -193,6 +201,7 @@
 		return
 	}
 	t.checkArrival(id, r.Header)
+	t.checkRateLimit(id)
 	if t.answerBackOff(w, r, id) {
 		return
 	}
@@ -202,6 +211,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if t.crash(w, r, id) {
+		return
+	}
 	t.ledger.recordRun(id, t.service, t.id)
 	time.Sleep(workTime + addedWorkTime[mode])
 	if mode == targetResetsAnswers {
