quarantine: count canaries at a target that was lost before

Cause: each target counts as lost once, and one that comes back with the same start was the only one left, so that the third loss never came and canary followed canary. A canary lost with such a target counts now. A new connection that is reset was no loss at all; it is weak evidence now, of which twice as much is needed.

TestStandings has the case.

--- a/forward/lostruns.go
+++ b/forward/lostruns.go
@@ -31,12 +31,14 @@
 	}
 }
 
-// targetLost reports whether the attempt's connection ended although the target may have
-// begun to run the request, as when the target crashes. A target that resets a new
-// connection has too many of them.
+// connectionEnded reports whether the attempt's connection ended although the target may
+// have begun to run the request.
+func (o *Outcome) connectionEnded() bool { return o.Verdict == Unknown && o.ConnectionLost }
+
+// targetLost reports whether the target probably crashed. One that resets a new connection
+// rather has too many of them.
 func (o *Outcome) targetLost() bool {
-	overLimit := o.OverConnectionLimit && errors.Is(o.Cause, syscall.ECONNRESET)
-	return o.Verdict == Unknown && o.ConnectionLost && !overLimit
+	return o.connectionEnded() && !(o.OverConnectionLimit && errors.Is(o.Cause, syscall.ECONNRESET))
 }
 
 // lostRuns counts the attempts of a request that were lost with their targets. It is safe
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -28,9 +28,9 @@
 // recordForGuard passes the end of an attempt on to what decides which requests may run.
 func (s *Server) recordForGuard(req *request, sel *selection, r *result) {
 	switch {
-	case r.outcome.targetLost():
+	case r.outcome.connectionEnded():
 		f := req.fingerprint()
-		standing, changed := s.guard.Lost(f, quarantine.Target(sel.key), r.canary)
+		standing, changed := s.guard.Lost(f, quarantine.Loss{Target: quarantine.Target(sel.key), Canary: r.canary, Weak: !r.outcome.targetLost()})
 		if changed {
 			s.cfg.Log.Warn(msgStanding, "request", req.id, "fingerprint", f.String(), "standing", standing.String())
 		}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -137,13 +137,21 @@
 	close(c)
 }
 
-// Lost records that a target was lost while it may have run a request. canary means that it
-// ran it as a canary. It returns the request's standing and whether that has changed.
-func (g *Guard) Lost(f Fingerprint, t Target, canary bool) (s Standing, changed bool) {
+// Loss is a target that was lost while it may have run a request.
+type Loss struct {
+	Target Target
+	// Canary means that the target ran the request as a canary.
+	Canary bool
+	// Weak means that the loss may have another cause.
+	Weak bool
+}
+
+// Lost records a loss and returns the request's standing and whether that has changed.
+func (g *Guard) Lost(f Fingerprint, l Loss) (s Standing, changed bool) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := Evidence{Lost: []Target{t}, CanaryLost: canary, Trusted: g.answered.has(f, now)}
+	e := Evidence{Lost: []Target{l.Target}, CanaryLost: l.Canary, Weak: l.Weak || g.answered.has(f, now)}
 	before, _ := g.standing(f, now)
 	g.own.add(f, e, now)
 	g.active.Store(true)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -11,12 +11,10 @@
 	// a canary.
 	suspectLosses    = 2
 	quarantineLosses = 3
-	// trustedFactor is how many times as many targets must be lost in a row under a request
-	// that some answered lately: among many runs of one request, a few lost ones in a row
-	// are chance.
-	trustedFactor = 2
+	// weakFactor is how many times as many targets must be lost if the evidence is weak.
+	weakFactor = 2
 	// maxTargets bounds the lost targets that are told apart.
-	maxTargets = trustedFactor * quarantineLosses
+	maxTargets = weakFactor * quarantineLosses
 	// suspectTime is how long a request is a suspect after the last loss.
 	suspectTime = time.Minute
 	// quarantineTime is how long a request is quarantined at first. After that it may run
@@ -57,11 +55,14 @@
 // Evidence is what happened to a request.
 type Evidence struct {
 	// Lost are the targets that were lost under it, each one once, and CanaryLost means
-	// that one of them ran it as a canary.
+	// that one of them ran it as a canary. Again is how often a canary was lost with one of
+	// them that had been lost before.
 	Lost       []Target
 	CanaryLost bool
-	// Trusted means that targets answered it not long before.
-	Trusted bool
+	Again      int
+	// Weak means that targets answered it not long before, so that a few of many runs may
+	// have been lost in a row by chance, or that losses may have another cause.
+	Weak bool
 	// Answered means that a target answered it after that.
 	Answered bool
 }
@@ -77,21 +78,27 @@
 	if e.Answered {
 		return later
 	}
-	lost := slices.Clone(e.Lost)
+	sum := Evidence{
+		Lost: slices.Clone(e.Lost), CanaryLost: e.CanaryLost || later.CanaryLost, Again: e.Again + later.Again, Weak: e.Weak || later.Weak,
+	}
 	for _, t := range later.Lost {
-		if len(lost) < maxTargets && !slices.Contains(lost, t) {
-			lost = append(lost, t)
+		switch {
+		case !slices.Contains(sum.Lost, t) && len(sum.Lost) < maxTargets:
+			sum.Lost = append(sum.Lost, t)
+		case later.CanaryLost:
+			sum.Again++
 		}
 	}
-	return Evidence{Lost: lost, CanaryLost: e.CanaryLost || later.CanaryLost, Trusted: e.Trusted || later.Trusted}
+	sum.Again = min(sum.Again, maxTargets)
+	return sum
 }
 
-// lostAtLeast reports whether so many targets were lost, or more if the request is trusted.
+// lostAtLeast reports whether so many targets were lost, or more if the evidence is weak.
 func (e Evidence) lostAtLeast(n int) bool {
-	if e.Trusted {
-		n *= trustedFactor
+	if e.Weak {
+		n *= weakFactor
 	}
-	return len(e.Lost) >= n
+	return len(e.Lost)+e.Again >= n
 }
 
 // record is what is known of one request.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -29,11 +29,12 @@
 		e.CanaryLost = true
 		return e
 	}
-	trusted := func(e Evidence) Evidence {
-		e.Trusted = true
+	weak := func(e Evidence) Evidence {
+		e.Weak = true
 		return e
 	}
-	answered, same := Evidence{Answered: true}, Evidence{Lost: []Target{1000}, CanaryLost: true}
+	answered, same := Evidence{Answered: true}, Evidence{Lost: []Target{1000}}
+	sameCanary := Evidence{Lost: []Target{1000}, CanaryLost: true}
 	for name, c := range map[string]struct {
 		evidence []Evidence
 		want     Standing
@@ -45,12 +46,13 @@
 		"one gather and a canary":        {[]Evidence{lost(10), canary()}, Quarantined},
 		"a canary lost as the second":    {[]Evidence{lost(1), canary()}, Suspect},
 		"one target lost often":          {[]Evidence{same, same, same, same}, Clear},
+		"two targets and a canary again": {[]Evidence{same, lost(1), sameCanary}, Quarantined},
 		"answered after losses":          {[]Evidence{lost(1), lost(1), lost(1), answered}, Clear},
 		"answered between losses":        {[]Evidence{lost(1), answered, lost(1)}, Clear},
 		"answered between many of these": {[]Evidence{lost(1), lost(1), answered, lost(1), lost(1)}, Suspect},
-		"trusted, three losses":          {[]Evidence{trusted(lost(1)), lost(1), canary()}, Clear},
-		"trusted, five losses":           {[]Evidence{trusted(lost(4)), canary()}, Suspect},
-		"trusted, six losses":            {[]Evidence{trusted(lost(5)), canary()}, Quarantined},
+		"weak, three losses":             {[]Evidence{weak(lost(1)), lost(1), canary()}, Clear},
+		"weak, five losses":              {[]Evidence{weak(lost(4)), canary()}, Suspect},
+		"weak, six losses":               {[]Evidence{weak(lost(5)), canary()}, Quarantined},
 	} {
 		l := newLedger()
 		got := Clear
@@ -134,13 +136,13 @@
 // once, and of its end.
 func TestGatewaysShareStandings(t *testing.T) {
 	x := newExchange()
-	x.a.Lost(one, 1, false)
-	x.b.Lost(one, 2, false)
+	x.a.Lost(one, Loss{Target: 1})
+	x.b.Lost(one, Loss{Target: 2})
 	x.pass()
 	if x.standing(x.a) != Suspect || x.standing(x.b) != Suspect {
 		t.Fatalf("%v and %v after a loss at each gateway", x.standing(x.a), x.standing(x.b))
 	}
-	x.a.Lost(one, 3, true)
+	x.a.Lost(one, Loss{Target: 3, Canary: true})
 	select {
 	case <-x.a.Urgent():
 	default:
@@ -170,7 +172,7 @@
 func TestQuarantineOutlastsTheLeader(t *testing.T) {
 	x := newExchange()
 	for i := range Target(3) {
-		x.a.Lost(one, i, true)
+		x.a.Lost(one, Loss{Target: i, Canary: true})
 	}
 	x.pass()
 	x.b.Apply(nil)
@@ -191,8 +193,8 @@
 // One canary of a request may run at a time, and others must wait for what becomes of it.
 func TestOneCanaryAtATime(t *testing.T) {
 	x := newExchange()
-	x.a.Lost(one, 1, false)
-	x.a.Lost(one, 2, false)
+	x.a.Lost(one, Loss{Target: 1})
+	x.a.Lost(one, Loss{Target: 2})
 	first := x.a.Admit(t.Context(), one)
 	if first.Standing != Suspect || first.Done == nil {
 		t.Fatalf("%+v for the first one", first)
@@ -212,7 +214,7 @@
 		t.Fatalf("%+v while the first one runs", a)
 	case <-time.After(20 * time.Millisecond):
 	}
-	x.a.Lost(one, 3, true)
+	x.a.Lost(one, Loss{Target: 3, Canary: true})
 	first.Done()
 	if a := <-second; a.Standing != Quarantined || a.RetryAfter != quarantineTime {
 		t.Errorf("%+v after the canary was lost", a)
@@ -223,7 +225,7 @@
 // exchange nothing.
 func TestAnsweredLossesAreNotReported(t *testing.T) {
 	x := newExchange()
-	x.a.Lost(one, 1, false)
+	x.a.Lost(one, Loss{Target: 1})
 	x.a.Answered(one)
 	if message := x.a.Report(); message != nil || x.a.Active() {
 		t.Errorf("report %v, active %v", message, x.a.Active())
@@ -234,7 +236,7 @@
 func TestMalformedMessagesAreIgnored(t *testing.T) {
 	x := newExchange()
 	for i := range Target(3) {
-		x.a.Lost(one, i, true)
+		x.a.Lost(one, Loss{Target: i, Canary: true})
 	}
 	x.pass()
 	x.hub.Add([]byte{0xff, 1}, x.now)
@@ -247,12 +249,12 @@
 
 // A request that targets answered lately must need more losses, and count as any other one
 // some time later.
-func TestAnsweredRequestIsTrusted(t *testing.T) {
+func TestAnsweredRequestNeedsMoreLosses(t *testing.T) {
 	x := newExchange()
 	lose := func() Standing {
 		var s Standing
 		for i := range Target(quarantineLosses) {
-			s, _ = x.a.Lost(one, i, true)
+			s, _ = x.a.Lost(one, Loss{Target: i, Canary: true})
 		}
 		return s
 	}
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -36,7 +36,7 @@
 	if r.quarantined <= 0 || r.Answered || l.records[f] != nil {
 		return l.add(f, r.Evidence, now)
 	}
-	l.add(f, Evidence{Lost: r.Lost, Trusted: r.Trusted}, now)
+	l.add(f, Evidence{Lost: r.Lost, Weak: r.Weak}, now)
 	if x := l.records[f]; x != nil {
 		x.quarantineFor(min(r.quarantined, maxQuarantineTime), now)
 	}
@@ -55,7 +55,7 @@
 	for _, f := range byBytes(reports) {
 		r := reports[f]
 		m.Evidence = append(m.Evidence, &pb.QuarantineEvidence{
-			Fingerprint: f[:], CanaryLost: r.CanaryLost, Trusted: r.Trusted, Answered: r.Answered,
+			Fingerprint: f[:], CanaryLost: r.CanaryLost, Again: uint32(r.Again), Weak: r.Weak, Answered: r.Answered,
 			QuarantinedMs: uint32(r.quarantined.Milliseconds()),
 		})
 		for _, t := range r.Lost {
@@ -77,7 +77,7 @@
 			continue
 		}
 		r := report{
-			Evidence:    Evidence{CanaryLost: e.GetCanaryLost(), Trusted: e.GetTrusted(), Answered: e.GetAnswered()},
+			Evidence:    Evidence{CanaryLost: e.GetCanaryLost(), Again: int(min(e.GetAgain(), maxTargets)), Weak: e.GetWeak(), Answered: e.GetAnswered()},
 			quarantined: time.Duration(e.GetQuarantinedMs()) * time.Millisecond,
 		}
 		for _, t := range e.GetLost()[:min(len(e.GetLost()), maxTargets)] {
