--- a/forward/lostruns.go
+++ b/forward/lostruns.go
@@ -38,7 +38,7 @@
 // targetLost reports whether the target probably crashed. One that resets a new connection
 // rather has too many of them.
 func (o *Outcome) targetLost() bool {
-	return o.connectionEnded() && !(o.OverConnectionLimit && errors.Is(o.Cause, syscall.ECONNRESET))
+	return o.connectionEnded() && (!o.OverConnectionLimit || !errors.Is(o.Cause, syscall.ECONNRESET))
 }
 
 // lostRuns counts the attempts of a request that were lost with their targets. It is safe
--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -122,6 +122,12 @@
 	t.backOff = d
 }
 
+// sayNotices adds to a response what the target says of itself.
+func (t *standinTarget) sayNotices(w http.ResponseWriter, id string) {
+	t.sayLeaving(w, id)
+	t.sayRateLimit(w)
+}
+
 // sayLeaving adds to a response that the target leaves, if it does.
 func (t *standinTarget) sayLeaving(w http.ResponseWriter, id string) {
 	t.mu.Lock()
@@ -151,6 +157,7 @@
 		t.ledger.addViolation("%s", text)
 	}
 	excused := func(gateway int, since time.Time) bool { return t.ledger.excused(t, gateway, since) }
+	t.checkRateLimit(id)
 	for _, text := range t.ledger.notices.arrive(t.id, id, time.Now(), excused, t.ledger.restarted) {
 		t.ledger.addViolation("%s", text)
 	}
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -181,18 +181,9 @@
 	mode, _ := t.state()
 	id := r.Header.Get(headers.RequestID)
 	w.Header().Set(headers.RequestID, id)
-	t.sayLeaving(w, id)
-	t.sayRateLimit(w)
+	t.sayNotices(w, id)
 	if r.URL.Path == healthPath {
-		if t.sendsCopies() {
-			t.serveCopies(w)
-			return
-		}
-		if f := t.endlessForm(); f != "" {
-			sendEndless(w, f, t.leavingLine(), "")
-			return
-		}
-		w.Header().Set(headers.TargetID, t.id)
+		t.serveHealth(w)
 		return
 	}
 	if want := r.Header.Get(headers.ExpectTarget); want != "" && want != t.id {
@@ -201,7 +192,6 @@
 		return
 	}
 	t.checkArrival(id, r.Header)
-	t.checkRateLimit(id)
 	if t.answerBackOff(w, r, id) {
 		return
 	}
@@ -239,6 +229,19 @@
 	_, _ = w.Write([]byte(body))
 }
 
+// serveHealth answers a health check.
+func (t *standinTarget) serveHealth(w http.ResponseWriter) {
+	if t.sendsCopies() {
+		t.serveCopies(w)
+		return
+	}
+	if f := t.endlessForm(); f != "" {
+		sendEndless(w, f, t.leavingLine(), "")
+		return
+	}
+	w.Header().Set(headers.TargetID, t.id)
+}
+
 // sendEndless sends bytes of form f until the caller closes the connection.
 func sendEndless(w http.ResponseWriter, f endless.Form, header, body string) {
 	c, _, err := http.NewResponseController(w).Hijack()
