ratelimit: bound what the leader tells each gateway

Read in the diff: a state goes out each 0.1 s whatever its size, which with 470 limited targets of 210 services is 0.12 MB/s for each gateway.

--- a/ratelimit/hub.go
+++ b/ratelimit/hub.go
@@ -109,9 +109,9 @@
 	if now.Before(h.changeAt) {
 		return h.state
 	}
-	h.changeAt = now.Add(stateInterval)
 	h.expire(now)
 	h.state = h.current(now).encode()
+	h.changeAt = now.Add(max(stateInterval, time.Duration(len(h.state))*time.Second/stateBytesPerSecond))
 	return h.state
 }
 
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -117,6 +117,9 @@
 	sumsTTL = 5 * time.Second
 	// stateInterval is the shortest time between two states.
 	stateInterval = 100 * time.Millisecond
+	// stateBytesPerSecond bounds what one receiver is sent: a state of n bytes stays for at
+	// least n/stateBytesPerSecond.
+	stateBytesPerSecond = 8192
 	// settleTime is how long after its window the sums of a service count as complete:
 	// all gateways have heard by then that it has limited targets.
 	settleTime = 500 * time.Millisecond
