--- a/forward/caution.go
+++ b/forward/caution.go
@@ -70,6 +70,15 @@
 	*x = caution{}
 }
 
+// updateCaution applies what another router sent, or that it was lost. before is the number
+// of parts received before.
+func (g *gathering) updateCaution(ctx context.Context, before int) {
+	if before == 0 && g.received > 0 {
+		g.endCaution(ctx)
+	}
+	g.endWaiting()
+}
+
 // partMayCome reports whether a shard that doesn't wait for another one may be answered.
 func (g *gathering) partMayCome() bool {
 	for i := range g.signatures {
--- a/forward/gather.go
+++ b/forward/gather.go
@@ -194,6 +194,7 @@
 		case <-helperDue.C:
 			g.handleQueued(ctx)
 			g.checkHelpers(ctx, time.Now())
+			g.endWaiting()
 			g.scheduleCheck(helperDue)
 		case <-hedge.C:
 			g.handleQueued(ctx)
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -192,18 +192,12 @@
 	if !h.open || r.try != h.try {
 		return
 	}
+	defer g.updateCaution(ctx, g.received)
 	if r.message == nil {
 		g.replace(ctx, h, r.notSent, r.cause)
 		return
 	}
 	h.recheckAt = time.Time{}
-	if g.received == 0 {
-		defer func() {
-			if g.received > 0 {
-				g.endCaution(ctx)
-			}
-		}()
-	}
 	switch r.message.GetStatus() {
 	case pb.PartsStatus_PARTS_STATUS_ACCEPTED:
 		h.accepted = true
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/peridotmux/peridotmux/discovery"
+	"github.com/peridotmux/peridotmux/rpc/pb"
 )
 
 // crashOn makes a target close the connection, after some time, for requests whose path or
@@ -159,3 +160,25 @@
 		t.Errorf("status %d", got.status)
 	}
 }
+
+// A shard that waits for another one's part must be given up when the last router that may
+// send one ends without, rather than at the deadline.
+func TestWaitingShardEndsWithTheLastHelper(t *testing.T) {
+	names, _, entries := startShards(t, 4)
+	f := newTestServer(t, testTable(names...), entries...)
+	g := f.newGathering(&request{id: "q", route: &f.table.Routes[2], table: f.table})
+	for i := range g.calls {
+		g.calls[i] = &call{server: f.Server, req: g.req}
+	}
+	h := &handOver{shards: []int{1, 2, 3}, open: true, try: 1}
+	g.handedOver[1], g.handedOver[2], g.handedOver[3] = h, h, h
+	g.handleLoss(t.Context(), 0, true)
+	if !g.shardInFlight(0) {
+		t.Fatal("the shard doesn't wait")
+	}
+	done := &helperReply{from: h, try: 1, message: &pb.PartsReply{Status: pb.PartsStatus_PARTS_STATUS_DONE}}
+	g.handleReply(t.Context(), done)
+	if g.anyInFlight() {
+		t.Error("the shard still waits though no part can come")
+	}
+}
